--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,641 @@
+// All decisions of myrtleroute: where each API call's shots go while things fail. The adapter (later the proxy) calls
+// the events of Balancer and carries out what comes back through Actions; both stand in logic.hpp. The mechanism
+// is that of docs/design.md. Below: Desk (what all share), Fleet (list, pool, choice, health), the stages of the chain
+// from the API call's side to the servers' side, and at the end the Balancer, which feeds events to them.
+#include "logic.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <unordered_map>
+
+#include "random.hpp"
+
+namespace myrtleroute {
+namespace {
+
+// The design's figures. Spans and counts that settings give are used as ratios where they are needed.
+constexpr Span interval{10};                       // between resizes of the pool
+constexpr Span tick = interval * (1.0 / 40);       // between looks at medians, limit and quarantine
+constexpr Span penalty{5};                         // how long a failure counts
+constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
+constexpr Span most_silence{1};
+constexpr size_t first_size = 10, least_size = 4, most_size = 200;
+constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
+
+struct Desk {
+    Settings set;
+    Actions& out;
+    Pcg chance;
+    Time now;
+};
+
+bool idempotent(const Call& c) { return c.product->repeat == Repeat::idempotent; }
+
+// Until when an answer is worth anything; later ones are not worth a further shot.
+Time useful_until(const Call& c) {
+    return c.product->tardy_value > 0 ? c.give_up : std::min(c.give_up, c.arrived + c.product->slo);
+}
+
+bool same_group(const Product& p, const Server& a, const Server& b) {
+    return p.group == Group::all || (p.group == Group::zone ? a.zone == b.zone : a.cell == b.cell);
+}
+
+// No effect twice: whether a shot of the call may go to this server now.
+bool may_send(const Call& c, const Server& s, Time now) {
+    for (const auto& shot : c.shots) {
+        if (idempotent(c) || !shot.may_have_run()) continue;
+        if (c.product->repeat == Repeat::non_idempotent) return false;
+        if (!same_group(*c.product, *shot.server, s) || now - shot.sent >= c.product->window) return false;
+    }
+    return true;
+}
+
+// A rate-limit reply tells the client that a retry is harmless.
+bool may_rate_limit(const Call& c) {
+    if (idempotent(c) || (c.product->repeat == Repeat::deduplicated && c.product->group == Group::all)) return true;
+    return std::none_of(c.shots.begin(), c.shots.end(), [](const Shot& s) { return s.may_have_run(); });
+}
+
+class Fleet {
+public:
+    explicit Fleet(Desk& desk) : desk_(desk), sends_(interval) {}
+    const std::vector<Server*>& members() const { return members_; }
+    Server* find(ServerId id) {
+        const auto it = known_.find(id);
+        return it == known_.end() ? nullptr : it->second.get();
+    }
+
+    // The list.
+    void list_starts(bool whole, bool cached) {
+        if (!cached) asked_again_ = 0;
+        if (whole)
+            for (auto* s : listed_) s->state = State::gone;
+    }
+    void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size, Time launched) {
+        auto& slot = known_[id];
+        if (!slot) {
+            slot = std::make_unique<Server>(penalty, desk_.set.fall_window);
+            slot->id = id;
+            listed_.push_back(slot.get());
+        }
+        slot->zone = zone;
+        slot->cell = cell;
+        slot->state = state;
+        slot->size = size > 0 ? size : 1;
+        if (launched > slot->launched) slot->launched = launched;
+    }
+    void list_ends() {
+        std::sort(listed_.begin(), listed_.end(), [](auto* a, auto* b) { return a->id < b->id; });
+        arrange();
+        refill();
+    }
+    // Asks again with growing, random waits, so that many balancers do not press on a list service in trouble, and
+    // always within AskWithin, so that no drain goes unheard.
+    void list_failed() {
+        const Span wait = desk_.set.ask_within * (std::min(16, 1 << asked_again_) / 40.0);
+        asked_again_ = std::min(4, asked_again_ + 1);
+        desk_.out.wake(wait * (0.5 + desk_.chance.share() / 2), list_cookie);
+    }
+
+    // The pool: members() are the first of order_ that are in service, so each balancer has a stable part of its own.
+    void note_in_flight(int delta) {
+        in_flight_ += delta;
+        peak_ = std::max(peak_, in_flight_);
+        // A burst is over before the interval is, so growth does not wait for it; shrinking does.
+        if (in_flight_ > static_cast<int>(members_.size()) && members_.size() < order_.size()) {
+            target_ = members_.size() + 1;
+            refill();
+        }
+    }
+    int in_flight() const { return in_flight_; }
+    size_t floor() const {
+        return std::max(least_size, (3 * order_.size() + desk_.set.balancers - 1) / desk_.set.balancers);
+    }
+    void resize() {
+        const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
+        target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // the source shrinks by two at most
+        peak_ = in_flight_;
+        refill();
+    }
+
+    // The choice: the member with the fewest own calls in flight, per size; ties break randomly.
+    Server* choose(const Call& c) {
+        const double mean = members_.empty() ? 0 : static_cast<double>(in_flight_) / members_.size();
+        Server* best = pick(members_, c, mean);
+        return best ? best : pick(order_, c, mean);   // no member may take it: any listed server beats no answer
+    }
+
+    void sent(Shot& shot) {
+        shot.server->open.push_back(&shot);
+        shot.server->sends.add(desk_.now, 0);
+        sends_.add(desk_.now, 0);
+        note_in_flight(+1);
+    }
+
+    void ended(Shot& shot) {
+        Server& s = *shot.server;
+        Product& p = *shot.call->product;
+        s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
+        note_in_flight(-1);
+        const double took = (desk_.now - shot.sent).s;
+        switch (shot.outcome) {
+            case Outcome::fulfilled:
+                heard(s);
+                p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
+                s.record.add(desk_.now, answered);
+                s.record.add(desk_.now, slowness, std::min(took / p.took, penalty_weight));
+                return;
+            case Outcome::errored: heard(s); return blame(s);
+            case Outcome::full: heard(s); return blame(s);
+            case Outcome::reset: return blame(s);
+            case Outcome::connect_failed:
+                // Down, perhaps restarting: until the list says more, it counts as cold from now on.
+                s.launched = std::max(s.launched, desk_.now);
+                return blame(s);
+            case Outcome::timed_out:
+                s.silent = s.last_heard < shot.sent;
+                if (desk_.now - shot.sent >= silence(*shot.call)) blame(s);
+                return;
+            case Outcome::cancelled: case Outcome::never_sent: return;
+        }
+    }
+
+    // Silence: a shot has waited this long while its server said nothing at all and others answered.
+    Span silence(const Call& c) const { return std::min(most_silence, (c.give_up - c.arrived) * 0.5); }
+    void heard_nothing(const Shot& shot) {
+        Server& s = *shot.server;
+        if (s.last_heard >= shot.sent || last_heard_ <= shot.sent || s.quarantined) return;
+        if (desk_.set.probing) return probe(s);
+        s.silent = true;
+        blame(s);
+    }
+    void probe(Server& s) {
+        if (s.probing || !desk_.set.probing) return;
+        s.probing = true;
+        desk_.out.probe(s.id);
+    }
+    void probed(Server& s, bool reply) {
+        s.probing = false;
+        if (reply) {
+            if (s.quarantined) desk_.out.log("probe answered, back in the pool:", s.id);
+            s.quarantined = s.silent = false;
+            s.last_heard = desk_.now;
+            settle_trial(s);
+            return;
+        }
+        if (s.quarantined || !s.member || s.state != State::ready) return;
+        // Wide trouble is no member's fault: never more than half the pool.
+        const auto out = std::count_if(members_.begin(), members_.end(), [](auto* m) { return m->quarantined; });
+        if (2 * (out + 1) > static_cast<long>(members_.size())) return;
+        s.quarantined = true;
+        ++s.offences;
+        desk_.out.log("no answer and no probe reply, quarantined:", s.id);
+        if (!desk_.set.cancel) return;
+        for (auto* shot : s.open)
+            if (idempotent(*shot->call) && !shot->call->streaming && !shot->called_off) {
+                shot->called_off = true;   // sent again once the cancel's outcome is in
+                desk_.out.cancel(shot->call->id, shot->number);
+            }
+    }
+
+    // Every tick: judge each member against the fleet's median, look after the quarantined, replace repeat offenders.
+    void look() {
+        std::vector<double> shares, paces;
+        for (auto* s : members_) {
+            const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
+            if (n + bad == 0) continue;
+            shares.push_back(bad / (n + bad));
+            if (n > 0) paces.push_back(s->record.total(desk_.now, slowness) / n);
+        }
+        const double share = median(shares, 0), pace = std::max(0.1, median(paces, 1));
+        const double few = least_size;   // answers seen before a server's own record outweighs the fleet's
+        for (auto* s : members_) {
+            const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
+            s->failing = std::max(0.0, (bad + few * share) / (n + bad + few) - share);
+            s->pace = (s->record.total(desk_.now, slowness) + few * pace) / ((n + few) * pace);
+            if (s->quarantined && desk_.now >= s->next_probe) {
+                s->next_probe = desk_.now + most_silence;
+                probe(*s);
+            }
+        }
+        replace();
+    }
+
+private:
+    static double median(std::vector<double>& v, double otherwise) {
+        if (v.empty()) return otherwise;
+        std::nth_element(v.begin(), v.begin() + v.size() / 2, v.end());
+        return v[v.size() / 2];
+    }
+    void heard(Server& s) {
+        s.last_heard = last_heard_ = desk_.now;
+        s.silent = false;
+        if (!desk_.set.probing) settle_trial(s);
+    }
+    void blame(Server& s) {
+        s.record.add(desk_.now, failed);
+        s.penalty_until = desk_.now + penalty;
+    }
+
+    // Members are taken along the sorted list from a place of this balancer's own; where crossing zones is priced, the
+    // own zone's servers come first.
+    void arrange() {
+        order_.clear();
+        for (auto* s : listed_)
+            if (s->state == State::ready) order_.push_back(s);
+        if (order_.empty()) return;
+        const size_t n = order_.size(), own = desk_.set.me % desk_.set.balancers;
+        std::rotate(order_.begin(), order_.begin() + own * n / desk_.set.balancers % n, order_.end());
+        if (desk_.set.cross_price > 0)
+            std::stable_partition(order_.begin(), order_.end(), [&](auto* s) { return s->zone == desk_.set.zone; });
+    }
+    void refill() {
+        const auto leaves = [](auto* s) {
+            if (s->state != State::ready) s->member = false;
+            return !s->member;
+        };
+        members_.erase(std::remove_if(members_.begin(), members_.end(), leaves), members_.end());
+        const size_t size = std::min(std::max(target_, floor()), order_.size());
+        for (auto* s : order_)
+            if (members_.size() < size && !s->member) join(*s);
+        for (auto it = order_.rbegin(); it != order_.rend() && members_.size() > size; ++it)
+            if ((*it)->member) leave(**it);
+        size_sum_ = 0;
+        for (auto* s : members_) size_sum_ += s->size;
+    }
+    void join(Server& s) {
+        s.member = true;
+        s.quarantined = false;
+        s.joined = desk_.now;
+        s.offences = 0;
+        members_.push_back(&s);
+    }
+    void leave(Server& s) {
+        s.member = false;
+        members_.erase(std::find(members_.begin(), members_.end(), &s));
+        if (s.open.empty()) desk_.out.close_idle(s.id);
+    }
+
+    double warm_share(const Server& s) const {
+        const double age = (desk_.now - s.launched) / desk_.set.warm_after;
+        return age >= 1 ? 1 : desk_.set.start_capacity + (1 - desk_.set.start_capacity) * std::max(0.0, age);
+    }
+    // No cold server pushed over: in any window it gets no more of this balancer's calls than half of what the rule
+    // allows, taking what warm servers of like size get from this balancer as their capacity's own share.
+    bool within_budget(Server& s, double warm) {
+        if (warm >= 1) return true;
+        const double usual = sends_.total(desk_.now, 0) / interval.s * s.size / std::max(size_sum_, s.size);
+        const double budget = desk_.set.tip_multiple * warm * usual * desk_.set.fall_window.s / 2;
+        return s.sends.total(desk_.now, 0) + 1 <= std::max(1.0, budget);
+    }
+    Server* pick(const std::vector<Server*>& among, const Call& c, double mean) {
+        Server* best = nullptr;
+        double least = std::numeric_limits<double>::infinity();
+        uint32_t ties = 0;
+        for (auto* s : among) {
+            if (s->quarantined || s->state != State::ready || !may_send(c, *s, desk_.now)) continue;
+            const double warm = warm_share(*s);
+            if (!within_budget(*s, warm)) continue;
+            const double cost = busyness(*s, c, mean, warm);
+            if (cost > least || (cost == least && desk_.chance.next() % ++ties != 0)) continue;
+            if (cost < least) ties = 1;
+            least = cost;
+            best = s;
+        }
+        return best;
+    }
+    double busyness(const Server& s, const Call& c, double mean, double warm) const {
+        double own = static_cast<double>(s.open.size());
+        if (desk_.now < s.joined + penalty) own = std::max(own, mean);   // a newcomer is not flooded for being empty
+        double cost = (own + 1) / (s.size * members_.size() / std::max(size_sum_, s.size) * warm) * s.pace;
+        if (desk_.now < s.penalty_until) cost += penalty_weight;
+        cost += penalty_weight * s.failing;
+        // What must not run twice does not try out a server whose last word was silence.
+        if (s.silent && !idempotent(c)) cost += penalty_weight;
+        if (s.zone != desk_.set.zone) cost += desk_.set.cross_price * penalty_weight;
+        for (const auto& shot : c.shots)
+            if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
+        return cost;
+    }
+
+    // A member quarantined again and again, unlike the rest, is replaced, one in six intervals at most; the replacement
+    // answers before the old one goes.
+    void replace() {
+        if (replacement_ || desk_.now < next_replacement_) return;
+        std::vector<double> offences;
+        for (auto* s : members_) offences.push_back(s->offences);
+        const double usual = median(offences, 0);
+        for (auto* s : members_) {
+            if (s->offences < 3 || s->offences < 2 * usual + 1) continue;
+            const auto it = std::find_if(order_.begin(), order_.end(), [](auto* o) { return !o->member; });
+            if (it == order_.end()) return;
+            next_replacement_ = desk_.now + interval * 6;
+            replacement_ = *it;
+            replaced_ = s;
+            probe(*replacement_);
+            return;
+        }
+    }
+    void settle_trial(Server& s) {
+        if (&s != replacement_) return;
+        replacement_ = nullptr;
+        if (s.member || s.state != State::ready || !replaced_->member) return;
+        desk_.out.log("often quarantined, replaced:", replaced_->id);
+        join(s);
+        leave(*replaced_);
+    }
+
+    Desk& desk_;
+    std::unordered_map<ServerId, std::unique_ptr<Server>> known_;   // looked up only, never walked
+    std::vector<Server*> listed_, order_, members_;
+    size_t target_ = first_size;
+    int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
+    double size_sum_ = 0;
+    Ring<1> sends_;
+    Time last_heard_ = long_ago, next_replacement_ = long_ago;
+    Server* replacement_ = nullptr;
+    Server* replaced_ = nullptr;
+};
+
+// The chain. A stage passes a call on, keeps it (something is out, or it went on by itself) or ends it.
+enum class Step { pass, keep, end };
+
+class Stage {
+public:
+    virtual ~Stage() = default;
+    virtual Step there(Call&) { return Step::pass; }
+    virtual Step back(Call&, Shot&) { return Step::pass; }
+    virtual void later(Call&) {}   // a wake set for this call
+};
+
+class Chain {
+public:
+    void add(Stage& stage) { stages_.push_back(&stage); }
+    Step there(Call& c, const Stage* after = nullptr) {
+        auto it = after ? std::find(stages_.begin(), stages_.end(), after) + 1 : stages_.begin();
+        for (; it != stages_.end(); ++it)
+            if (const Step step = (*it)->there(c); step != Step::pass) return step;
+        return Step::keep;
+    }
+    Step back(Call& c, Shot& shot) {
+        for (auto it = stages_.rbegin(); it != stages_.rend(); ++it)
+            if (const Step step = (*it)->back(c, shot); step != Step::pass) return step;
+        return Step::end;
+    }
+    void later(Call& c) {
+        for (auto* stage : stages_) stage->later(c);
+    }
+
+private:
+    std::vector<Stage*> stages_;
+};
+
+// Rate-limits early what could only be answered late. A limit on calls in flight falls while a good part of the recent
+// answers is late and rises again while they come in time. Worthier work per second may fill it to the top.
+class Limit : public Stage {
+public:
+    Limit(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet), recent_(most_silence * 2) {}
+    Step there(Call& c) override {
+        return fleet_.in_flight() + 1 <= limit_ * room(*c.product) ? Step::pass : Step::end;
+    }
+    Step back(Call& c, Shot& shot) override {
+        const bool in_time = shot.outcome == Outcome::fulfilled && desk_.now <= c.arrived + c.product->slo;
+        if (shot.outcome == Outcome::fulfilled || shot.outcome == Outcome::timed_out || shot.outcome == Outcome::full)
+            recent_.add(desk_.now, in_time ? 0 : 1);
+        return Step::pass;
+    }
+    void look() {
+        const double good = recent_.total(desk_.now, 0), late = recent_.total(desk_.now, 1);
+        const double least = fleet_.members().size();
+        if (late > least_size && late > (good + late) / 4) {
+            if (limit_ == none_) desk_.out.log("answers come late, limiting API calls in flight");
+            limit_ = std::max(least, std::min<double>(limit_, fleet_.in_flight()) * 0.9);
+        } else if (limit_ < none_ && fleet_.in_flight() + 1 >= limit_ / 2) {
+            limit_ *= 1.05;
+            if (limit_ > least * penalty_weight) limit_ = none_;
+        }
+    }
+
+private:
+    // The share of the limit that a product may fill, by its value for each second that it takes.
+    double room(const Product& p) const {
+        double best = 0;
+        for (const auto& q : desk_.set.products) best = std::max(best, density(q));
+        return best > 0 ? 0.7 + 0.3 * density(p) / best : 1;
+    }
+    static double density(const Product& p) { return p.took > 0 ? p.value / p.took : 0; }
+    static constexpr double none_ = 1e9;
+    Desk& desk_;
+    Fleet& fleet_;
+    Ring<2> recent_;
+    double limit_ = none_;
+};
+
+// Further shots: after a failure elsewhere, and a second copy next to one that is overdue. How many are made follows how
+// many of the recent ones were fulfilled in time, so in wide trouble they dry up instead of adding to it.
+class Further : public Stage {
+public:
+    Further(Desk& desk, Chain& chain) : desk_(desk), chain_(chain), recent_(interval) {}
+    Step there(Call& c) override {
+        recent_.add(desk_.now, calls);
+        if (desk_.set.duplicate && c.product->repeat != Repeat::non_idempotent)
+            desk_.out.wake(copy_after(*c.product), c.id);
+        return Step::pass;
+    }
+    void later(Call& c) override {
+        if (c.ended || c.streaming || c.out != 1 || !desk_.set.duplicate || !worthwhile(c)) return;
+        if (desk_.now - c.shots.back().sent < copy_after(*c.product)) return;
+        chain_.there(c, this);
+    }
+    Step back(Call& c, Shot& shot) override {
+        if (shot.further && shot.outcome == Outcome::fulfilled && desk_.now <= c.arrived + c.product->slo)
+            recent_.add(desk_.now, won);
+        if (c.ended || c.out > 0 || shot.outcome == Outcome::fulfilled || !worthwhile(c)) return Step::pass;
+        return chain_.there(c, this);
+    }
+
+private:
+    enum { calls, made, won, lanes };
+    // As late as a copy can still answer in time.
+    static Span copy_after(const Product& p) { return {std::max(p.slo.s - 2.5 * p.took, std::max(1.5 * p.took, p.slo.s / 4))}; }
+    bool worthwhile(const Call& c) {
+        if (static_cast<int>(c.shots.size()) >= desk_.set.max_shots) return false;
+        if (desk_.now + Span{c.product->took} >= useful_until(c)) return false;
+        const double success = (recent_.total(desk_.now, won) + 2) / (recent_.total(desk_.now, made) + 2);
+        if (recent_.total(desk_.now, made) >= 2 + recent_.total(desk_.now, calls) * success / 2) return false;
+        recent_.add(desk_.now, made);
+        return true;
+    }
+    Desk& desk_;
+    Chain& chain_;
+    Ring<lanes> recent_;
+};
+
+// Sends to the member chosen, and watches for silence.
+class Send : public Stage {
+public:
+    Send(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet) {}
+    Step there(Call& c) override {
+        Server* server = fleet_.choose(c);
+        if (!server) return c.out > 0 ? Step::keep : Step::end;
+        Shot shot;
+        shot.call = &c;
+        shot.server = server;
+        shot.sent = desk_.now;
+        shot.number = static_cast<int>(c.shots.size());
+        shot.further = shot.number > 0;
+        c.shots.push_back(shot);
+        ++c.out;
+        desk_.out.send(c.id, server->id, c.give_up - desk_.now);
+        desk_.out.wake(fleet_.silence(c), c.id);
+        fleet_.sent(c.shots.back());
+        return Step::pass;
+    }
+    Step back(Call&, Shot& shot) override {
+        fleet_.ended(shot);
+        return Step::pass;
+    }
+    void later(Call& c) override {
+        for (auto& shot : c.shots)
+            if (shot.out && !shot.heard_silent && desk_.now - shot.sent >= fleet_.silence(c)) {
+                shot.heard_silent = true;
+                fleet_.heard_nothing(shot);
+            }
+    }
+
+private:
+    Desk& desk_;
+    Fleet& fleet_;
+};
+
+class Decisions : public Balancer {
+public:
+    Decisions(Time now, Settings settings, uint64_t seed, Actions& out)
+        : desk_{std::move(settings), out, Pcg(seed), now}, fleet_(desk_), limit_(desk_, fleet_),
+          further_(desk_, chain_), send_(desk_, fleet_), next_resize_(now + interval) {
+        chain_.add(limit_);
+        chain_.add(further_);
+        chain_.add(send_);
+        out.wake(tick, tick_cookie);
+        if (!desk_.set.pushed) out.watch_list();
+    }
+
+    void list_starts(Time now, bool whole, bool cached) override {
+        desk_.now = now;
+        fleet_.list_starts(whole, cached);
+    }
+    void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size, Time launched) override {
+        fleet_.lists(id, zone, cell, state, size, launched);
+    }
+    void list_ends() override { fleet_.list_ends(); }
+    void list_failed(Time now) override {
+        desk_.now = now;
+        fleet_.list_failed();
+    }
+
+    void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) override {
+        desk_.now = now;
+        if (product >= desk_.set.products.size()) throw std::runtime_error("an API call of an unknown product");
+        auto [it, fresh] = calls_.try_emplace(id);
+        if (!fresh) return;
+        Call& c = it->second;
+        c.id = id;
+        c.product = &desk_.set.products[product];
+        c.tenant = tenant;
+        c.arrived = now;
+        c.give_up = now + patience;
+        c.shots.reserve(desk_.set.max_shots);
+        if (patience <= Span{} || chain_.there(c) == Step::end) answer(c);
+        forget_if_over(c);
+    }
+    void client_left(Time now, CallId id) override {
+        desk_.now = now;
+        const auto it = calls_.find(id);
+        if (it == calls_.end()) return;
+        over(it->second);
+        forget_if_over(it->second);
+    }
+    void stream_began(Time now, CallId id, int shot) override {
+        desk_.now = now;
+        const auto it = calls_.find(id);
+        if (it == calls_.end() || it->second.streaming) return;
+        it->second.streaming = true;
+        call_off_others(it->second, shot);
+    }
+    void shot_ended(Time now, CallId id, int number, Outcome outcome, bool call_done) override {
+        desk_.now = now;
+        const auto it = calls_.find(id);
+        if (it == calls_.end()) return;
+        Call& c = it->second;
+        if (number < 0 || number >= static_cast<int>(c.shots.size()) || !c.shots[number].out) return;
+        Shot& shot = c.shots[number];
+        shot.out = false;
+        shot.outcome = outcome;
+        --c.out;
+        const bool open = !c.ended;
+        if (call_done) c.ended = true;
+        if (chain_.back(c, shot) == Step::end && !c.ended && c.out == 0) answer(c);
+        if (open && c.ended) call_off_others(c, number);
+        forget_if_over(c);
+    }
+    void probed(Time now, ServerId id, bool reply) override {
+        desk_.now = now;
+        if (auto* s = fleet_.find(id)) fleet_.probed(*s, reply);
+    }
+    void woke(Time now, uint64_t cookie) override {
+        desk_.now = now;
+        if (cookie == list_cookie) return desk_.out.watch_list();
+        if (cookie != tick_cookie) {
+            const auto it = calls_.find(cookie);
+            if (it != calls_.end()) chain_.later(it->second);
+            return;
+        }
+        fleet_.look();
+        limit_.look();
+        if (now >= next_resize_) {
+            next_resize_ = now + interval;
+            fleet_.resize();
+        }
+        desk_.out.wake(tick, tick_cookie);
+    }
+
+private:
+    // The one final answer, as soon as the call is given up. Where a retry could no longer be of use, the client is told
+    // to stay away as long as it may be told.
+    void answer(Call& c) {
+        if (may_rate_limit(c)) desk_.out.rate_limit(c.id, desk_.set.retry_after ? desk_.set.max_retry_after : Span{});
+        else desk_.out.error(c.id);
+        over(c);
+    }
+    void over(Call& c) {
+        c.ended = true;
+        call_off_others(c, -1);
+    }
+    void call_off_others(Call& c, int but) {
+        for (auto& shot : c.shots)
+            if (desk_.set.cancel && shot.out && !shot.called_off && shot.number != but) {
+                shot.called_off = true;
+                desk_.out.cancel(c.id, shot.number);
+            }
+    }
+    void forget_if_over(Call& c) {
+        if (c.ended && c.out == 0) calls_.erase(c.id);
+    }
+
+    Desk desk_;
+    Fleet fleet_;
+    Chain chain_;
+    Limit limit_;
+    Further further_;
+    Send send_;
+    Time next_resize_;
+    std::unordered_map<CallId, Call> calls_;   // looked up only, never walked
+};
+
+}  // namespace
+
+std::unique_ptr<Balancer> start_balancer(Time now, Settings settings, uint64_t seed, Actions& actions) {
+    return std::make_unique<Decisions>(now, std::move(settings), seed, actions);
+}
+
+}  // namespace myrtleroute
--- /dev/null
+++ b/src/logic.hpp
@@ -0,0 +1,47 @@
+// The decisions' interface: events in, actions out. It knows no wire; an adapter or a proxy implements Actions and
+// calls the Balancer's events in the order in which they happened, each with the time at which it did.
+#pragma once
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include "settings.hpp"
+
+namespace myrtleroute {
+
+using CallId = uint64_t;     // below 2^52
+using ServerId = uint64_t;
+
+class Actions {
+public:
+    virtual ~Actions() = default;
+    virtual void send(CallId call, ServerId server, Span try_for) = 0;
+    virtual void cancel(CallId call, int shot) = 0;
+    virtual void rate_limit(CallId call, Span come_back) = 0;   // final: a retry is harmless
+    virtual void error(CallId call) = 0;                        // final: promises nothing
+    virtual void probe(ServerId server) = 0;
+    virtual void close_idle(ServerId server) = 0;
+    virtual void watch_list() = 0;
+    virtual void wake(Span after, uint64_t cookie) = 0;
+    virtual void log(std::string_view line, ServerId about = 0) = 0;   // 0: no one server
+};
+
+class Balancer {
+public:
+    virtual ~Balancer() = default;
+    // The list of servers comes as a start, its entries and an end; `whole` lists leave out what is gone.
+    virtual void list_starts(Time now, bool whole, bool cached) = 0;
+    virtual void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size, Time launched) = 0;
+    virtual void list_ends() = 0;
+    virtual void list_failed(Time now) = 0;
+    virtual void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) = 0;
+    virtual void client_left(Time now, CallId id) = 0;
+    virtual void stream_began(Time now, CallId id, int shot) = 0;
+    virtual void shot_ended(Time now, CallId id, int shot, Outcome outcome, bool call_done) = 0;
+    virtual void probed(Time now, ServerId id, bool answered) = 0;
+    virtual void woke(Time now, uint64_t cookie) = 0;
+};
+
+std::unique_ptr<Balancer> start_balancer(Time now, Settings settings, uint64_t seed, Actions& actions);
+
+}  // namespace myrtleroute
--- /dev/null
+++ b/src/model.hpp
@@ -0,0 +1,79 @@
+// The things decided about: products, servers, API calls and their shots. They point to each other.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "ring.hpp"
+#include "time.hpp"
+
+namespace myrtleroute {
+
+enum class Repeat { idempotent, deduplicated, non_idempotent };
+enum class Group { all, zone, cell };   // which servers drop each other's repeats
+enum class Outcome { fulfilled, errored, full, timed_out, connect_failed, reset, cancelled, never_sent };
+enum class State { gone, ready, draining };
+
+struct Product {
+    std::string name;
+    double value = 1;
+    Span slo, client_timeout, window;
+    Repeat repeat = Repeat::idempotent;
+    Group group = Group::all;
+    double tardy_value = 0;    // share of the value still earned after the SLO
+    double took = 0;           // seconds an answer lately took on an unhurried server, 0 = none seen yet
+};
+
+struct Call;
+struct Server;
+
+struct Shot {
+    Call* call = nullptr;
+    Server* server = nullptr;
+    Time sent;
+    int number = 0;
+    bool out = true;
+    bool further = false;      // not the API call's first
+    bool heard_silent = false; // its silence has been acted on
+    bool called_off = false;
+    Outcome outcome = Outcome::fulfilled;
+    bool may_have_run() const {
+        return out || (outcome != Outcome::full && outcome != Outcome::connect_failed && outcome != Outcome::never_sent);
+    }
+};
+
+struct Call {
+    uint64_t id = 0;
+    Product* product = nullptr;
+    uint32_t tenant = 0;
+    Time arrived, give_up;
+    std::vector<Shot> shots;   // reserved up to the limit at arrival, so that pointers to shots hold
+    Server* target = nullptr;  // where the next shot goes
+    int out = 0;               // shots without an outcome yet
+    bool ended = false;        // has had its final answer
+    bool streaming = false;
+};
+
+enum Tally { answered, failed, slowness, tallies };
+
+struct Server {
+    uint64_t id = 0;
+    uint16_t zone = 0, cell = 0;
+    State state = State::ready;
+    double size = 1;               // capacity hint, comparable between servers
+    Time launched = long_ago;      // last start that was listed or seen
+    Time penalty_until = long_ago;
+    Time joined = long_ago;        // when it became a pool member
+    Time last_heard = long_ago;
+    Time next_probe = long_ago;    // of a quarantined one
+    bool member = false, quarantined = false, probing = false;
+    bool silent = false;           // last word was silence: no answer since
+    int offences = 0;              // quarantines since it joined
+    double failing = 0, pace = 1;  // as last judged against the fleet's median
+    std::vector<Shot*> open;
+    Ring<tallies> record;
+    Ring<1> sends;                 // within the cold budget's window
+    Server(Span memory, Span window) : record(memory), sends(window) {}
+};
+
+}  // namespace myrtleroute
--- /dev/null
+++ b/src/settings.hpp
@@ -0,0 +1,114 @@
+// The settings that are read, decoded once at start from path=value pairs.
+#pragma once
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "model.hpp"
+
+namespace myrtleroute {
+
+struct Settings {
+    std::vector<Product> products;
+    std::vector<double> allowances;   // API calls a second a tenant may make across all balancers
+    int balancers = 1, me = 0;
+    uint16_t zone = 0;
+    bool pushed = true, probing = false, cancel = false, duplicate = false, retry_after = false;
+    int max_shots = 1;
+    Span max_retry_after, ask_within, fall_window, warm_after;
+    double start_capacity = 1, tip_multiple = 1;
+    double cross_price = 0;
+};
+
+class SettingsReader {
+public:
+    explicit SettingsReader(std::string_view pairs) {
+        while (!pairs.empty()) {
+            const auto end = pairs.find('\n');
+            const auto line = pairs.substr(0, end);
+            if (const auto is = line.find('='); is != line.npos) found_.emplace(line.substr(0, is), line.substr(is + 1));
+            pairs = end == pairs.npos ? std::string_view{} : pairs.substr(end + 1);
+        }
+    }
+
+    Settings decode() const {
+        Settings s;
+        const int products = count("Products.count", number("Products.count"));
+        if (products < 1) throw std::runtime_error("setting Products.count must be 1 or more");
+        for (int i = 0; i < products; ++i) s.products.push_back(product("Products." + std::to_string(i) + "."));
+        const int tenants = count("Projects.count", number("Projects.count", 0));
+        for (int i = 0; i < tenants; ++i)
+            s.allowances.push_back(number("Projects." + std::to_string(i) + ".AllowancePerS", 0));
+        s.balancers = std::max(1, count("Balancers", number("Balancers")));
+        s.me = count("Me", number("Me"));
+        s.zone = static_cast<uint16_t>(count("Locality", number("Locality", 0)));
+        s.pushed = one_of("Discovery", {"pushed", "on_request"}) == 0;
+        s.probing = yes("Limits.Probing");
+        s.cancel = yes("Limits.Cancel");
+        s.duplicate = yes("Limits.MayDuplicate");
+        s.retry_after = yes("Limits.RetryAfter");
+        s.max_shots = std::max(1, count("Limits.MaxShots", number("Limits.MaxShots")));
+        s.max_retry_after = {number("Limits.MaxRetryAfterS", 0)};
+        s.ask_within = {s.pushed ? number("Guarantees.AskWithinS", 0) : positive("Guarantees.AskWithinS")};
+        s.fall_window = {positive("Guarantees.FallS")};
+        s.warm_after = {positive("Guarantees.WarmAfterS")};
+        s.start_capacity = positive("Guarantees.StartCapacity");
+        s.tip_multiple = positive("Guarantees.TipMultiple");
+        s.cross_price = number("Prices.CrossZone", 0);
+        return s;
+    }
+
+private:
+    Product product(const std::string& at) const {
+        Product p;
+        p.name = text(at + "Name");
+        p.value = number(at + "BilledValue");
+        p.slo = {positive(at + "LatencySloS")};
+        p.client_timeout = {positive(at + "ClientTimeoutS")};
+        p.window = {number(at + "DedupWindowS", 0)};
+        p.repeat = static_cast<Repeat>(one_of(at + "Idempotency", {"read_like", "idempotency_key", "non_idempotent"}));
+        if (p.repeat == Repeat::deduplicated)
+            p.group = static_cast<Group>(one_of(at + "KeyScope", {"all", "zone", "cell"}));
+        p.tardy_value = number(at + "TardyBilledValue", 0);
+        return p;
+    }
+    const std::string& text(const std::string& path) const {
+        const auto it = found_.find(path);
+        if (it == found_.end()) throw std::runtime_error("setting " + path + " is missing");
+        return it->second;
+    }
+    double number(const std::string& path) const {
+        const auto& value = text(path);
+        double n = 0;
+        const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), n);
+        if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(n) || n < 0)
+            throw std::runtime_error("setting " + path + " is no sound number: " + value);
+        return n;
+    }
+    double number(const std::string& path, double otherwise) const {
+        return found_.count(path) ? number(path) : otherwise;
+    }
+    double positive(const std::string& path) const {
+        const double n = number(path);
+        if (n <= 0) throw std::runtime_error("setting " + path + " must be above 0");
+        return n;
+    }
+    static int count(const std::string& path, double n) {
+        if (n > 1e6 || n != std::floor(n)) throw std::runtime_error("setting " + path + " is no sound count");
+        return static_cast<int>(n);
+    }
+    bool yes(const std::string& path) const { return one_of(path, {"false", "true"}) == 1; }
+    int one_of(const std::string& path, const std::vector<std::string>& choices) const {
+        const auto& value = text(path);
+        for (size_t i = 0; i < choices.size(); ++i)
+            if (value == choices[i]) return static_cast<int>(i);
+        throw std::runtime_error("setting " + path + " has an unknown value: " + value);
+    }
+    std::map<std::string, std::string> found_;
+};
+
+}  // namespace myrtleroute
