Count given-up shots at their server until a later one is answered

Cause (incidents on all three, jam from the first seconds): timed-out calls left the in-flight count though their servers still held them.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -136,7 +136,10 @@
         Server& s = *shot.server;
         Product& p = *shot.call->product;
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
-        note_in_flight(-1);
+        // A shot given up mostly still runs or waits at its server, so it counts on until one sent later is answered.
+        if (shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled) s.ghosts.push_back(shot.sent);
+        else note_in_flight(-1);
+        if (shot.outcome == Outcome::fulfilled) lay_ghosts(s, shot.sent);
         const double took = (desk_.now - shot.sent).s;
         switch (shot.outcome) {
             case Outcome::fulfilled:
@@ -151,6 +154,7 @@
             case Outcome::connect_failed:
                 // Down, perhaps restarting: until the list says more, it counts as cold from now on.
                 s.launched = std::max(s.launched, desk_.now);
+                lay_ghosts(s, desk_.now);
                 return blame(s);
             case Outcome::timed_out:
                 s.silent = s.last_heard < shot.sent;
@@ -160,6 +164,10 @@
         }
     }
 
+    void lay_ghosts(Server& s, Time sent_by) {
+        note_in_flight(-static_cast<int>(std::erase_if(s.ghosts, [&](Time sent) { return sent <= sent_by; })));
+    }
+
     // Silence: a shot has waited this long while its server said nothing at all and others answered.
     Span silence(const Call& c) const { return std::min(most_silence, (c.give_up - c.arrived) * 0.5); }
     void heard_nothing(const Shot& shot) {
@@ -209,6 +217,8 @@
         }
         const double share = median(shares, 0), pace = std::max(0.1, median(paces, 1));
         const double few = least_size;   // answers seen before a server's own record outweighs the fleet's
+        for (auto* s : listed_)
+            if (!s->ghosts.empty()) lay_ghosts(*s, desk_.now - penalty);
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
             s->failing = std::max(0.0, (bad + few * share) / (n + bad + few) - share);
@@ -305,7 +315,7 @@
         return best;
     }
     double busyness(const Server& s, const Call& c, double mean, double warm) const {
-        double own = static_cast<double>(s.open.size());
+        double own = static_cast<double>(s.held());
         if (desk_.now < s.joined + penalty) own = std::max(own, mean);   // a newcomer is not flooded for being empty
         double cost = (own + 1) / (s.size * members_.size() / std::max(size_sum_, s.size) * warm) * s.pace;
         if (desk_.now < s.penalty_until) cost += penalty_weight;
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -71,6 +71,8 @@
     int offences = 0;              // quarantines since it joined
     double failing = 0, pace = 1;  // as last judged against the fleet's median
     std::vector<Shot*> open;
+    std::vector<Time> ghosts;      // when the shots were sent that were given up but that it may still hold
+    size_t held() const { return open.size() + ghosts.size(); }
     Ring<tallies> record;
     Ring<1> sends;                 // within the cold budget's window
     Server(Span memory, Span window) : record(memory), sends(window) {}
