--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,7 +58,7 @@
 
 class Fleet {
 public:
-    explicit Fleet(Desk& desk) : desk_(desk), sends_(interval) {}
+    explicit Fleet(Desk& desk) : desk_(desk), sends_(interval), done_(most_silence * 2) {}
     const std::vector<Server*>& members() const { return members_; }
     Server* find(ServerId id) {
         const auto it = known_.find(id);
@@ -108,6 +108,7 @@
         }
     }
     int in_flight() const { return in_flight_; }
+    double rate() const { return rate_; }
     size_t floor() const {
         return std::max(least_size, (3 * order_.size() + desk_.set.balancers - 1) / desk_.set.balancers);
     }
@@ -139,6 +140,7 @@
         // A shot given up mostly still runs or waits at its server, so it counts on until one sent later is answered.
         if (shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled) s.ghosts.push_back(shot.sent);
         else note_in_flight(-1);
+        if (shot.outcome == Outcome::fulfilled) done_.add(desk_.now, 0);
         if (shot.outcome == Outcome::fulfilled) lay_ghosts(s, shot.sent);
         const double took = (desk_.now - shot.sent).s;
         switch (shot.outcome) {
@@ -208,6 +210,7 @@
 
     // Every tick: judge each member against the fleet's median, look after the quarantined, replace repeat offenders.
     void look() {
+        rate_ = std::max(rate_ * 0.95, done_.total(desk_.now, 0) / (most_silence * 2).s);
         std::vector<double> shares, paces;
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
@@ -361,7 +364,8 @@
     size_t target_ = first_size;
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0;
-    Ring<1> sends_;
+    Ring<1> sends_, done_;
+    double rate_ = 0;   // answers a second, at best lately
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server* replacement_ = nullptr;
     Server* replaced_ = nullptr;
@@ -400,45 +404,28 @@
     std::vector<Stage*> stages_;
 };
 
-// Rate-limits early what could only be answered late. A limit on calls in flight falls while a good part of the recent
-// answers is late and rises again while they come in time. Worthier work per second may fill it to the top.
+// Rate-limits early what could only be answered late. By Little's law a call that joins those in flight is answered after
+// about their number over the rate of answers; it is turned away where that leaves too little of its SLO. One call a
+// member is always let in, so that the rate can show itself. Worthier work per second may use more of its SLO.
 class Limit : public Stage {
 public:
-    Limit(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet), recent_(most_silence * 2) {}
+    Limit(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet) {}
     Step there(Call& c) override {
-        return fleet_.in_flight() + 1 <= limit_ * room(*c.product) ? Step::pass : Step::end;
-    }
-    Step back(Call& c, Shot& shot) override {
-        const bool in_time = shot.outcome == Outcome::fulfilled && desk_.now <= c.arrived + c.product->slo;
-        if (shot.outcome == Outcome::fulfilled || shot.outcome == Outcome::timed_out || shot.outcome == Outcome::full)
-            recent_.add(desk_.now, in_time ? 0 : 1);
-        return Step::pass;
-    }
-    void look() {
-        const double good = recent_.total(desk_.now, 0), late = recent_.total(desk_.now, 1);
-        const double least = fleet_.members().size();
-        if (late > least_size && late > (good + late) / 4) {
-            if (limit_ == none_) desk_.out.log("answers come late, limiting API calls in flight");
-            limit_ = std::max(least, std::min<double>(limit_, fleet_.in_flight()) * 0.9);
-        } else if (limit_ < none_ && fleet_.in_flight() + 1 >= limit_ / 2) {
-            limit_ *= 1.05;
-            if (limit_ > least * penalty_weight) limit_ = none_;
-        }
+        const double after = fleet_.in_flight() + 1;
+        if (after <= fleet_.members().size()) return Step::pass;
+        return after <= fleet_.rate() * (useful_until(c) - desk_.now).s * most_wait * room(*c.product) ? Step::pass : Step::end;
     }
 
 private:
-    // The share of the limit that a product may fill, by its value for each second that it takes.
     double room(const Product& p) const {
         double best = 0;
         for (const auto& q : desk_.set.products) best = std::max(best, density(q));
         return best > 0 ? 0.7 + 0.3 * density(p) / best : 1;
     }
     static double density(const Product& p) { return p.took > 0 ? p.value / p.took : 0; }
-    static constexpr double none_ = 1e9;
+    static constexpr double most_wait = 0.7;
     Desk& desk_;
     Fleet& fleet_;
-    Ring<2> recent_;
-    double limit_ = none_;
 };
 
 // Further shots: after a failure elsewhere, and a second copy next to one that is overdue. How many are made follows how
@@ -601,7 +588,6 @@
             return;
         }
         fleet_.look();
-        limit_.look();
         if (now >= next_resize_) {
             next_resize_ = now + interval;
             fleet_.resize();
