--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -413,7 +413,7 @@
     Step there(Call& c) override {
         const double after = fleet_.in_flight() + 1;
         if (after <= fleet_.members().size()) return Step::pass;
-        return after <= fleet_.rate() * (useful_until(c) - desk_.now).s * most_wait * room(*c.product) ? Step::pass : Step::end;
+        return after <= fleet_.rate() * (c.arrived + c.product->slo - desk_.now).s * most_wait * room(*c.product) ? Step::pass : Step::end;
     }
 
 private:
