Limit calls at each server, by its share of the rate of answers

Cause: a limit over the whole pool let one slow server's calls use it up (46% refused at 0.65 load). Now each member has its share.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -19,6 +19,7 @@
 constexpr Span penalty{5};                         // how long a failure counts
 constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
 constexpr Span most_silence{1};
+constexpr double most_wait = 0.7;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
@@ -108,7 +109,6 @@
         }
     }
     int in_flight() const { return in_flight_; }
-    double rate() const { return rate_; }
     size_t floor() const {
         return std::max(least_size, (3 * order_.size() + desk_.set.balancers - 1) / desk_.set.balancers);
     }
@@ -119,11 +119,18 @@
         refill();
     }
 
-    // The choice: the member with the fewest own calls in flight, per size; ties break randomly.
+    // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised members are
+    // for the time when no other is left; and when no member may take it, any listed server beats no answer.
     Server* choose(const Call& c) {
-        const double mean = members_.empty() ? 0 : static_cast<double>(in_flight_) / members_.size();
-        Server* best = pick(members_, c, mean);
-        return best ? best : pick(order_, c, mean);   // no member may take it: any listed server beats no answer
+        room_ = rate_ * (c.arrived + c.product->slo - desk_.now).s * most_wait / std::max(size_sum_, 1e-9) * worthiness(c);
+        Server* best = nullptr;
+        for (const auto* among : {&members_, &order_})
+            for (const bool penalised : {false, true}) {
+                bool full = false;
+                best = pick(*among, c, penalised, full);
+                if (best || full) return best;
+            }
+        return best;
     }
 
     void sent(Shot& shot) {
@@ -301,14 +308,31 @@
         const double budget = desk_.set.tip_multiple * warm * usual * desk_.set.fall_window.s / 2;
         return s.sends.total(desk_.now, 0) + 1 <= std::max(1.0, budget);
     }
-    Server* pick(const std::vector<Server*>& among, const Call& c, double mean) {
+    // By Little's law a call that joins those held at a server is answered after about their number over the server's rate
+    // of answers. It is kept off where that leaves too little of its SLO, and rate-limited early where all are so full. One
+    // call a member is always let in, so that the rate can show itself; worthier work may use more of its SLO.
+    bool has_room(const Server& s) const { return s.held() < std::max(1.0, room_ * s.size); }
+    double worthiness(const Call& c) const {
+        double best = 0;
+        for (const auto& p : desk_.set.products) best = std::max(best, density(p));
+        return best > 0 ? 0.7 + 0.3 * density(*c.product) / best : 1;
+    }
+    static double density(const Product& p) { return p.took > 0 ? p.value / p.took : 0; }
+
+    Server* pick(const std::vector<Server*>& among, const Call& c, bool penalised, bool& full) {
+        const double mean = members_.empty() ? 0 : static_cast<double>(in_flight_) / members_.size();
         Server* best = nullptr;
         double least = std::numeric_limits<double>::infinity();
         uint32_t ties = 0;
         for (auto* s : among) {
             if (s->quarantined || s->state != State::ready || !may_send(c, *s, desk_.now)) continue;
+            if ((desk_.now < s->penalty_until) != penalised) continue;
             const double warm = warm_share(*s);
             if (!within_budget(*s, warm)) continue;
+            if (!has_room(*s)) {
+                full = true;
+                continue;
+            }
             const double cost = busyness(*s, c, mean, warm);
             if (cost > least || (cost == least && desk_.chance.next() % ++ties != 0)) continue;
             if (cost < least) ties = 1;
@@ -321,7 +345,6 @@
         double own = static_cast<double>(s.held());
         if (desk_.now < s.joined + penalty) own = std::max(own, mean);   // a newcomer is not flooded for being empty
         double cost = (own + 1) / (s.size * members_.size() / std::max(size_sum_, s.size) * warm) * s.pace;
-        if (desk_.now < s.penalty_until) cost += penalty_weight;
         cost += penalty_weight * s.failing;
         // What must not run twice does not try out a server whose last word was silence.
         if (s.silent && !idempotent(c)) cost += penalty_weight;
@@ -366,6 +389,7 @@
     double size_sum_ = 0;
     Ring<1> sends_, done_;
     double rate_ = 0;   // answers a second, at best lately
+    double room_ = 0;   // calls that a server of size 1 may hold, for the call being placed
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server* replacement_ = nullptr;
     Server* replaced_ = nullptr;
@@ -404,30 +428,6 @@
     std::vector<Stage*> stages_;
 };
 
-// Rate-limits early what could only be answered late. By Little's law a call that joins those in flight is answered after
-// about their number over the rate of answers; it is turned away where that leaves too little of its SLO. One call a
-// member is always let in, so that the rate can show itself. Worthier work per second may use more of its SLO.
-class Limit : public Stage {
-public:
-    Limit(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet) {}
-    Step there(Call& c) override {
-        const double after = fleet_.in_flight() + 1;
-        if (after <= fleet_.members().size()) return Step::pass;
-        return after <= fleet_.rate() * (c.arrived + c.product->slo - desk_.now).s * most_wait * room(*c.product) ? Step::pass : Step::end;
-    }
-
-private:
-    double room(const Product& p) const {
-        double best = 0;
-        for (const auto& q : desk_.set.products) best = std::max(best, density(q));
-        return best > 0 ? 0.7 + 0.3 * density(p) / best : 1;
-    }
-    static double density(const Product& p) { return p.took > 0 ? p.value / p.took : 0; }
-    static constexpr double most_wait = 0.7;
-    Desk& desk_;
-    Fleet& fleet_;
-};
-
 // Further shots: after a failure elsewhere, and a second copy next to one that is overdue. How many are made follows how
 // many of the recent ones were fulfilled in time, so in wide trouble they dry up instead of adding to it.
 class Further : public Stage {
@@ -508,9 +508,7 @@
 class Decisions : public Balancer {
 public:
     Decisions(Time now, Settings settings, uint64_t seed, Actions& out)
-        : desk_{std::move(settings), out, Pcg(seed), now}, fleet_(desk_), limit_(desk_, fleet_),
-          further_(desk_, chain_), send_(desk_, fleet_), next_resize_(now + interval) {
-        chain_.add(limit_);
+        : desk_{std::move(settings), out, Pcg(seed), now}, fleet_(desk_), further_(desk_, chain_), send_(desk_, fleet_), next_resize_(now + interval) {
         chain_.add(further_);
         chain_.add(send_);
         out.wake(tick, tick_cookie);
@@ -621,7 +619,6 @@
     Desk desk_;
     Fleet fleet_;
     Chain chain_;
-    Limit limit_;
     Further further_;
     Send send_;
     Time next_resize_;
