--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -19,7 +19,7 @@
 constexpr Span penalty{5};                         // how long a failure counts
 constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
 constexpr Span most_silence{1};
-constexpr double most_wait = 0.7;                  // of the SLO
+constexpr double most_wait = 0.5;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
