--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -19,7 +19,7 @@
 constexpr Span penalty{5};                         // how long a failure counts
 constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
 constexpr Span most_silence{1};
-constexpr double most_wait = 0.5;                  // of the SLO
+constexpr double most_wait = 0.7;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
@@ -309,9 +309,13 @@
         return s.sends.total(desk_.now, 0) + 1 <= std::max(1.0, budget);
     }
     // By Little's law a call that joins those held at a server is answered after about their number over the server's rate
-    // of answers. It is kept off where that leaves too little of its SLO, and rate-limited early where all are so full. One
-    // call a member is always let in, so that the rate can show itself; worthier work may use more of its SLO.
-    bool has_room(const Server& s) const { return s.held() < std::max(1.0, room_ * s.size); }
+    // of answers. It is kept off where that leaves too little of its SLO, and rate-limited early where all are so full. As
+    // many calls as the pool's floor are always let in, so that the rate can show itself: more, and many balancers would
+    // crowd a large fleet. Worthier work may use more of its SLO.
+    bool has_room(const Server& s) const {
+        return s.held() < std::max(1.0, room_ * s.size) &&
+               in_flight_ < std::max(static_cast<double>(floor()), room_ * size_sum_);
+    }
     double worthiness(const Call& c) const {
         double best = 0;
         for (const auto& p : desk_.set.products) best = std::max(best, density(p));
