Hold an error against a server only where its failure share stands out

Cause, from the pool's state each second: 10 to 13 of 23 members idle under the penalty for one stray error each.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -19,6 +19,7 @@
 constexpr Span penalty{5};                         // how long a failure counts
 constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
 constexpr Span most_silence{1};
+constexpr double outstanding = 0.1;                // share of failures above the median's
 constexpr double most_wait = 0.7;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
@@ -157,7 +158,9 @@
                 s.record.add(desk_.now, answered);
                 s.record.add(desk_.now, slowness, std::min(took / p.took, penalty_weight));
                 return;
-            case Outcome::errored: heard(s); return blame(s);
+            case Outcome::errored:
+                heard(s);
+                return blame(s, stands_out(s));
             case Outcome::full: heard(s); return blame(s);
             case Outcome::reset: return blame(s);
             case Outcome::connect_failed:
@@ -225,7 +228,7 @@
             shares.push_back(bad / (n + bad));
             if (n > 0) paces.push_back(s->record.total(desk_.now, slowness) / n);
         }
-        const double share = median(shares, 0), pace = std::max(0.1, median(paces, 1));
+        const double share = median_share_ = median(shares, 0), pace = std::max(0.1, median(paces, 1));
         const double few = least_size;   // answers seen before a server's own record outweighs the fleet's
         for (auto* s : listed_)
             if (!s->ghosts.empty()) lay_ghosts(*s, desk_.now - penalty);
@@ -252,9 +255,15 @@
         s.silent = false;
         if (!desk_.set.probing) settle_trial(s);
     }
-    void blame(Server& s) {
+    void blame(Server& s, bool penalise = true) {
         s.record.add(desk_.now, failed);
-        s.penalty_until = desk_.now + penalty;
+        if (penalise) s.penalty_until = desk_.now + penalty;
+    }
+    // Guards against stray errors idling sound servers: an error is held against a server whose share of failures, this
+    // one included, stands out from the fleet's median.
+    bool stands_out(Server& s) const {
+        const double bad = s.record.total(desk_.now, failed) + 1;
+        return bad / (bad + s.record.total(desk_.now, answered)) > median_share_ + outstanding;
     }
 
     // Members are taken along the sorted list from a place of this balancer's own; where crossing zones is priced, the
@@ -392,6 +401,7 @@
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0;
     Ring<1> sends_, done_;
+    double median_share_ = 0;
     double rate_ = 0;   // answers a second, at best lately
     double room_ = 0;   // calls that a server of size 1 may hold, for the call being placed
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
