--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -169,9 +169,10 @@
                 lay_ghosts(s, desk_.now);
                 return blame(s);
             case Outcome::timed_out:
-                s.silent = s.last_heard < shot.sent;
-                if (desk_.now - shot.sent >= silence(*shot.call)) blame(s);
-                return;
+                // A server that answered others meanwhile was not silent: the call may have been the heavy thing.
+                if (s.last_heard >= shot.sent) return blame(s, stands_out(s));
+                s.silent = true;
+                return blame(s);
             case Outcome::cancelled: case Outcome::never_sent: return;
         }
     }
