--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -123,7 +123,10 @@
     // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised members are
     // for the time when no other is left; and when no member may take it, any listed server beats no answer.
     Server* choose(const Call& c) {
-        room_ = rate_ * (c.arrived + c.product->slo - desk_.now).s * most_wait / std::max(size_sum_, 1e-9) * worthiness(c);
+        room_ = rate_ * (c.arrived + c.product->slo - desk_.now).s * most_wait * worthiness(c);
+        strength_ = 1e-9;
+        for (auto* s : members_)
+            if (!s->quarantined && desk_.now >= s->penalty_until) strength_ += strength(*s);
         Server* best = nullptr;
         for (const auto* among : {&members_, &order_})
             for (const bool penalised : {false, true}) {
@@ -310,11 +313,12 @@
         const double age = (desk_.now - s.launched) / desk_.set.warm_after;
         return age >= 1 ? 1 : desk_.set.start_capacity + (1 - desk_.set.start_capacity) * std::max(0.0, age);
     }
+    double strength(const Server& s) const { return s.size * warm_share(s); }
     // No cold server pushed over: in any window it gets no more of this balancer's calls than half of what the rule
     // allows, taking what warm servers of like size get from this balancer as their capacity's own share.
     bool within_budget(Server& s, double warm) {
         if (warm >= 1) return true;
-        const double usual = sends_.total(desk_.now, 0) / interval.s * s.size / std::max(size_sum_, s.size);
+        const double usual = sends_.total(desk_.now, 0) / interval.s * s.size / std::max(strength_, s.size);
         const double budget = desk_.set.tip_multiple * warm * usual * desk_.set.fall_window.s / 2;
         return s.sends.total(desk_.now, 0) + 1 <= std::max(1.0, budget);
     }
@@ -323,8 +327,8 @@
     // many calls as the pool's floor are always let in, so that the rate can show itself: more, and many balancers would
     // crowd a large fleet. Worthier work may use more of its SLO.
     bool has_room(const Server& s) const {
-        return s.held() < std::max(1.0, room_ * s.size) &&
-               in_flight_ < std::max(static_cast<double>(floor()), room_ * size_sum_);
+        return s.held() < std::max(1.0, room_ * strength(s) / strength_) &&
+               in_flight_ < std::max(static_cast<double>(floor()), room_);
     }
     double worthiness(const Call& c) const {
         double best = 0;
@@ -404,7 +408,8 @@
     Ring<1> sends_, done_;
     double median_share_ = 0;
     double rate_ = 0;   // answers a second, at best lately
-    double room_ = 0;   // calls that a server of size 1 may hold, for the call being placed
+    double room_ = 0;   // calls that the pool may hold, for the call being placed
+    double strength_ = 1;   // of the members in service, together
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server* replacement_ = nullptr;
     Server* replaced_ = nullptr;
