--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -104,8 +104,8 @@
         if (server) {
             unsigned char at[6];
             std::memcpy(at, &server, 6);
-            for (int i = 0; i < 4; ++i) line += (i ? "." : " ") + std::to_string(at[i]);
-            line += ":" + std::to_string(at[4] + 256 * at[5]);
+            for (int i = 0; i < 4; ++i) line.append(i ? "." : " ").append(std::to_string(at[i]));
+            line.append(":").append(std::to_string(at[4] + 256 * at[5]));
         }
         reply_.speak_for(number_);
         reply_.put(uint16_t{1120});
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -18,6 +18,7 @@
 constexpr Span tick = interval * (1.0 / 40);       // between looks at medians, limit and quarantine
 constexpr Span penalty{5};                         // how long a failure counts
 constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
+constexpr Span hair{1e-6};                         // what rounding may take off a wake's time
 constexpr Span most_silence{1};
 constexpr double outstanding = 0.1;                // share of failures above the median's
 constexpr double most_wait = 0.7;                  // of the SLO
@@ -455,13 +456,14 @@
     Further(Desk& desk, Chain& chain) : desk_(desk), chain_(chain), recent_(interval) {}
     Step there(Call& c) override {
         recent_.add(desk_.now, calls);
+        c.copy_at = desk_.now + copy_after(*c.product);
         if (desk_.set.duplicate && c.product->repeat != Repeat::non_idempotent)
-            desk_.out.wake(copy_after(*c.product), c.id);
+            desk_.out.wake(c.copy_at - desk_.now, c.id);
         return Step::pass;
     }
     void later(Call& c) override {
-        if (c.ended || c.streaming || c.out != 1 || !desk_.set.duplicate || !worthwhile(c)) return;
-        if (desk_.now - c.shots.back().sent < copy_after(*c.product)) return;
+        if (c.ended || c.streaming || c.out != 1 || !desk_.set.duplicate || desk_.now + hair < c.copy_at) return;
+        if (c.product->repeat == Repeat::non_idempotent || !worthwhile(c)) return;
         chain_.there(c, this);
     }
     Step back(Call& c, Shot& shot) override {
@@ -514,7 +516,7 @@
     }
     void later(Call& c) override {
         for (auto& shot : c.shots)
-            if (shot.out && !shot.heard_silent && desk_.now - shot.sent >= fleet_.silence(c)) {
+            if (shot.out && !shot.heard_silent && desk_.now - shot.sent + hair >= fleet_.silence(c)) {
                 shot.heard_silent = true;
                 fleet_.heard_nothing(shot);
             }
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -47,6 +47,7 @@
     Product* product = nullptr;
     uint32_t tenant = 0;
     Time arrived, give_up;
+    Time copy_at;              // when a second copy is due
     std::vector<Shot> shots;   // reserved up to the limit at arrival, so that pointers to shots hold
     Server* target = nullptr;  // where the next shot goes
     int out = 0;               // shots without an outcome yet
--- /dev/null
+++ b/tests/logic_test.cpp
@@ -0,0 +1,376 @@
+#include <catch2/catch.hpp>
+#include <algorithm>
+#include <map>
+#include <set>
+
+
+#include "play.hpp"
+
+using namespace myrtleroute;
+
+TEST_CASE("what follows an outcome, by product") {
+    struct Case { uint32_t product; Outcome outcome; const char* next; };
+    const auto c = GENERATE(
+        Case{0, Outcome::errored, "send"}, Case{0, Outcome::full, "send"}, Case{0, Outcome::reset, "send"},
+        Case{0, Outcome::connect_failed, "send"}, Case{1, Outcome::errored, "send"}, Case{1, Outcome::reset, "send"},
+        Case{2, Outcome::full, "send"}, Case{2, Outcome::connect_failed, "send"}, Case{2, Outcome::errored, "error"},
+        Case{2, Outcome::reset, "error"}, Case{2, Outcome::timed_out, "error"}, Case{2, Outcome::cancelled, "error"});
+    Play play;
+    const auto first = play.call(1, c.product);
+    play.end(1, c.outcome);
+    REQUIRE(play.done.back().what == c.next);
+    if (play.done.back().what == "send") CHECK(play.done.back().server != first);
+    CHECK(play.count("send") + play.count("error") == 2);
+}
+
+TEST_CASE("exactly one final answer, and nothing after it") {
+    struct Case { uint32_t product; const char* answer; };
+    const auto c = GENERATE(Case{0, "rate_limit"}, Case{1, "rate_limit"}, Case{2, "error"});
+    Play play;
+    play.call(1, c.product);
+    play.pass(4);
+    play.end(1, Outcome::timed_out);
+    play.end(1, Outcome::timed_out);
+    play.balancer->client_left(play.now, 1);
+    play.pass(5);
+    CHECK(play.count(c.answer, 1) == 1);
+    CHECK(play.count("rate_limit") + play.count("error") == 1);
+    CHECK(play.count("send") == 1);
+}
+
+TEST_CASE("a call with nowhere to go or no patience is rate-limited at once") {
+    struct Case { int servers; double patience; };
+    const auto c = GENERATE(Case{0, 4}, Case{6, 0}, Case{6, -1});
+    Play play({}, c.servers);
+    play.call(1, 2, c.patience);
+    CHECK(play.count("rate_limit", 1) == 1);
+}
+
+TEST_CASE("shots are limited, and never two at once where forbidden") {
+    Play play({}, 12);
+    play.call(1);
+    for (int shot = 0; shot < 3; ++shot) {
+        play.pass(0.05);
+        CHECK(play.count("send", 1) == shot + 1);
+        play.end(1, Outcome::full, shot);
+    }
+    play.end(1, Outcome::full, 3);
+    CHECK(play.count("send", 1) == 4);
+    CHECK(play.count("rate_limit", 1) == 1);
+}
+
+TEST_CASE("a deduplicated call that may have run stays in its group and its window") {
+    struct Case { const char* scope; double wait; bool again; };
+    const auto c = GENERATE(Case{"zone", 0.1, true}, Case{"cell", 0.1, true}, Case{"zone", 2.5, false}, Case{"all", 0.1, true},
+                            Case{"all", 2.5, false});
+    Play play("Products.1.KeyScope=" + std::string(c.scope) + "\nProducts.1.LatencySloS=4", 0);
+    std::map<ServerId, int> group;
+    for (ServerId id = 1; id <= 8; ++id) {
+        group[id] = id % 4;
+        play.list({{id, State::ready, long_ago, uint16_t(id % 4), uint16_t(id % 4)}});
+    }
+    const auto first = play.call(1, 1);
+    play.pass(c.wait);
+    play.end(1, Outcome::reset);
+    REQUIRE(play.count("send", 1) == (c.again ? 2 : 1));
+    if (c.again && std::string(c.scope) != "all") CHECK(group[play.last_send(1)] == group[first]);
+    if (!c.again) CHECK(play.count(std::string(c.scope) == "all" ? "rate_limit" : "error", 1) == 1);
+}
+
+TEST_CASE("nothing new goes to a server listed as draining or gone, or left out of a whole list") {
+    const auto how = GENERATE(0, 1, 2);
+    Play play;
+    if (how == 2) play.list({{1}, {2}, {3}}, true);
+    else play.list({{4, how ? State::gone : State::draining}, {5, State::draining}, {6, State::gone}});
+    std::set<ServerId> used;
+    for (CallId id = 1; id < 40; ++id) {
+        used.insert(play.call(id));
+        if (id > 3) play.end(id - 3, Outcome::fulfilled);
+        play.pass(0.02);
+    }
+    used.erase(0);
+    CHECK(used == std::set<ServerId>{1, 2, 3});
+}
+
+TEST_CASE("a cold server gets a budget over every window, also while warming and when a connection failed") {
+    const auto failed = GENERATE(false, true);
+    Play play({}, 6);
+    play.answer_some(200, 0.02);                       // 50 a second, some 8 to each server
+    if (failed) {
+        CallId id = 1;
+        while (play.call(id) != 1) play.end(id++, Outcome::fulfilled);
+        play.end(id, Outcome::connect_failed);
+        play.pass(5.1);                                // past the penalty
+    } else {
+        play.list({{1, State::ready, play.now}});
+    }
+    std::vector<double> to_cold;
+    for (CallId id = 1000; id < 1400; ++id) {
+        if (play.call(id) == 1) to_cold.push_back(play.now.s);
+        play.pass(0.01);
+        play.end(id, Outcome::fulfilled);
+    }
+    REQUIRE(!to_cold.empty());
+    // Three times what a fifth to seven tenths of a server does, and half of that is this balancer's.
+    for (size_t i = 0; i < to_cold.size(); ++i) {
+        const auto in_window = std::count_if(to_cold.begin(), to_cold.end(),
+                                             [&](double t) { return t >= to_cold[i] && t < to_cold[i] + 1; });
+        CHECK(in_window <= 3 * 0.75 * 17 / 2 + 1);
+    }
+}
+
+TEST_CASE("the pool keeps its floor, grows with the calls in flight and shrinks by two an interval") {
+    Play play("Balancers=6", 20);
+    std::set<ServerId> used;
+    for (CallId id = 1; id <= 15; ++id) {
+        used.insert(play.call(id));
+        play.pass(0.005);
+        if (id > 2) play.end(id - 2, Outcome::fulfilled);
+    }
+    CHECK(used.size() <= 10);                          // it starts at ten
+    play.answer_some(600, 0.06);                       // three intervals and more
+    used.clear();
+    for (CallId id = 100; id < 200; ++id) {
+        used.insert(play.call(id));
+        play.pass(0.02);
+        play.end(id, Outcome::fulfilled);
+    }
+    CHECK(used.size() == 10);                          // the floor: 3 x 20 / 6
+    play.answer_some(200, 0.02);
+    used.clear();
+    for (CallId id = 300; id < 330; ++id) used.insert(play.call(id));
+    CHECK(used.size() == 20);                          // spans about as many as are in flight
+}
+
+TEST_CASE("each call goes to the member with the fewest own calls in flight, ties at random") {
+    Play play("Balancers=1", 6);
+    std::set<std::vector<ServerId>> orders;
+    CallId id = 1;
+    for (int round = 0; round < 5; ++round) {
+        std::vector<ServerId> order;
+        for (int i = 0; i < 6; ++i) order.push_back(play.call(id + i));
+        CHECK(std::set<ServerId>(order.begin(), order.end()).size() == 6);
+        orders.insert(order);
+        for (int i = 0; i < 6; ++i) play.end(id + i, Outcome::fulfilled);
+        id += 6;
+    }
+    CHECK(orders.size() > 1);
+}
+
+TEST_CASE("what a failure is held against, and for how long") {
+    struct Case { Outcome outcome; bool heard_meanwhile; int answers_before; bool penalised; };
+    const auto c = GENERATE(Case{Outcome::errored, false, 0, true}, Case{Outcome::full, false, 300, true},
+                            Case{Outcome::connect_failed, false, 300, true}, Case{Outcome::reset, false, 300, true},
+                            Case{Outcome::timed_out, false, 300, true},
+                            Case{Outcome::errored, false, 300, false},          // stray: its share is like the others'
+                            Case{Outcome::timed_out, true, 300, false});        // it answered others: a heavy call
+    Play play({}, 6);
+    play.answer_some(c.answers_before, 0.01);
+    const auto bad = play.call(1, 2);
+    play.pass(0.01);
+    if (c.heard_meanwhile) {
+        std::vector<CallId> open;
+        CallId id = 10;
+        while (play.call(id) != bad) open.push_back(id++);
+        play.pass(0.01);
+        for (open.push_back(id); !open.empty(); open.pop_back()) play.end(open.back(), Outcome::fulfilled);
+    }
+    play.end(1, c.outcome);
+    const auto met = [&](CallId from) {
+        bool found = false;
+        for (CallId id = from; id < from + 60; ++id) {
+            found |= play.call(id) == bad;
+            play.pass(0.02);
+            play.end(id, Outcome::fulfilled);
+        }
+        return found;
+    };
+    CHECK(met(1000) == !c.penalised);
+    play.pass(5);
+    CHECK(met(2000));
+}
+
+TEST_CASE("silence while others answer is probed; no reply quarantines until a probe is answered") {
+    const auto product = GENERATE(0u, 2u);
+    Play play({}, 6);
+    const auto silent = play.call(1, product);
+    for (CallId id = 10; id < 60; ++id) {
+        play.call(id);
+        play.pass(0.03);
+        play.end(id, Outcome::fulfilled);
+    }
+    REQUIRE(play.count("probe") == 1);
+    play.balancer->probed(play.now, silent, false);
+    CHECK(play.count("cancel", 1) == (product == 0 ? 1 : 0));   // what must not run twice runs on
+    for (CallId id = 60; id < 100; ++id) {
+        CHECK(play.call(id) != silent);
+        play.end(id, Outcome::fulfilled);
+    }
+    CHECK(play.count("send", 1) == 1);                          // resent only after the cancel's outcome
+    play.pass(1.1);
+    REQUIRE(play.count("probe") == 2);
+    play.balancer->probed(play.now, silent, true);
+    std::set<ServerId> used;
+    for (CallId id = 100; id < 112; ++id) used.insert(play.call(id));
+    CHECK(used.count(silent) == 1);
+}
+
+TEST_CASE("a cancelled shot is sent again elsewhere after its outcome") {
+    Play play("Products.0.LatencySloS=4", 6);
+    const auto silent = play.call(1);
+    for (CallId id = 10; id < 60; ++id) {
+        play.call(id);
+        play.pass(0.03);
+        play.end(id, Outcome::fulfilled);
+    }
+    play.balancer->probed(play.now, silent, false);
+    play.end(1, Outcome::cancelled);
+    REQUIRE(play.count("send", 1) == 2);
+    CHECK(play.last_send(1) != silent);
+}
+
+TEST_CASE("never more than half the pool is quarantined") {
+    Play play({}, 6);
+    std::map<ServerId, CallId> open;
+    for (CallId id = 1; id <= 5; ++id) open[play.call(id, 2)] = id;
+    for (CallId id = 10; id < 60; ++id) {
+        play.call(id);
+        play.pass(0.03);
+        play.end(id, Outcome::fulfilled);
+    }
+    CHECK(play.count("probe") == 5);
+    for (const auto& [server, id] : open) play.balancer->probed(play.now, server, false);
+    std::set<ServerId> used;
+    for (CallId id = 100; id < 120; ++id) used.insert(play.call(id));
+    used.erase(0);
+    CHECK(used.size() == 3);
+}
+
+TEST_CASE("without probes a silent member is penalised, and what must not run twice does not try it out") {
+    Play play("Limits.Probing=false", 6);
+    const auto silent = play.call(1, 2, 3.9);
+    for (CallId id = 10; id < 60; ++id) {
+        play.call(id);
+        play.pass(0.03);
+        play.end(id, Outcome::fulfilled);
+    }
+    play.pass(5.1);
+    CHECK(play.count("probe") == 0);
+    play.end(1, Outcome::timed_out);
+    play.pass(5.1);
+    std::set<ServerId> used;
+    for (CallId id = 100; id < 105; ++id) used.insert(play.call(id, 2));
+    CHECK(used.size() == 5);
+    CHECK(used.count(silent) == 0);
+    CHECK(play.call(200, 0) == silent);
+}
+
+TEST_CASE("a shot given up counts at its server until one sent later is answered") {
+    Play play("Balancers=1", 4);
+    const auto stuck = play.call(1, 0, 0.1);
+    play.pass(0.01);
+    for (CallId id = 2; id <= 4; ++id) play.call(id);
+    play.pass(0.1);
+    for (CallId id = 2; id <= 4; ++id) play.end(id, Outcome::fulfilled);
+    play.end(1, Outcome::cancelled);
+    for (CallId id = 5; id <= 7; ++id) CHECK(play.call(id) != stuck);
+}
+
+TEST_CASE("calls are rate-limited early once those in flight take up the SLO, and let in again later") {
+    Play play("Balancers=1", 4);
+    play.answer_some(100, 0.05);                       // 20 answers a second, SLO 1 s
+    play.pass(0.3);
+    int sent = 0;
+    for (CallId id = 1; id <= 100; ++id) sent += play.call(id) != 0;
+    CHECK(sent >= 12);                                 // the floor
+    CHECK(sent <= 20);
+    CHECK(play.count("rate_limit") == 100 - sent);
+    for (CallId id = 1; id <= 100; ++id) play.end(id, Outcome::fulfilled);
+    CHECK(play.call(200) != 0);
+}
+
+TEST_CASE("an overdue call gets a second copy where allowed, and copies dry up when they do not help") {
+    struct Case { uint32_t product; bool allowed; int sends; };
+    const auto c = GENERATE(Case{0, true, 2}, Case{1, true, 2}, Case{2, true, 1}, Case{0, false, 1});
+    Play play(std::string("Limits.MayDuplicate=") + (c.allowed ? "true" : "false"), 6);
+    play.answer_some(20);
+    play.call(1, c.product);
+    play.pass(0.99);
+    CHECK(play.count("send", 1) == c.sends);
+    if (c.sends == 1) return;
+    for (CallId id = 1000; id < 1100; ++id) {
+        play.call(id, 0);
+        play.pass(1);
+        for (int shot = 0; shot < play.count("send", id); ++shot) play.end(id, Outcome::timed_out, shot);
+    }
+    CHECK(play.count("send", 1099) <= 1);
+}
+
+TEST_CASE("an answer ends the call and calls off its other shot; a stream that began is left alone") {
+    const auto streams = GENERATE(false, true);
+    Play play("Limits.MayDuplicate=true", 6);
+    play.answer_some(20);
+    play.call(1);
+    play.pass(0.99);
+    REQUIRE(play.count("send", 1) == 2);
+    if (streams) play.balancer->stream_began(play.now, 1, 1);
+    else play.end(1, Outcome::fulfilled, 1);
+    REQUIRE(play.count("cancel", 1) == 1);
+    play.end(1, Outcome::cancelled, 0);
+    play.pass(5);
+    CHECK(play.count("send", 1) == 2);
+    CHECK(play.count("rate_limit") + play.count("error") == 0);
+}
+
+TEST_CASE("the list is watched, and asked for again in time after a failure") {
+    Play play("Discovery=on_request", 6);
+    CHECK(play.count("watch") == 1);
+    for (int failures = 1; failures <= 6; ++failures) {
+        play.balancer->list_failed(play.now);
+        play.pass(9.9);
+        CHECK(play.count("watch") == failures + 1);
+    }
+}
+
+TEST_CASE("a member often quarantined unlike the rest is replaced once another has answered a probe") {
+    Play play("Balancers=6", 12);
+    play.answer_some(700, 0.06);                       // the pool is at its floor of six
+    std::set<ServerId> pool;
+    for (CallId id = 1; id <= 6; ++id) pool.insert(play.call(id));
+    for (CallId id = 1; id <= 6; ++id) play.end(id, Outcome::fulfilled);
+    REQUIRE(pool.size() == 6);
+    const auto bad = *pool.begin();
+    for (int i = 0; i < 3; ++i) {
+        play.balancer->probed(play.now, bad, false);
+        if (i < 2) play.balancer->probed(play.now, bad, true);
+    }
+    const size_t before = play.done.size();
+    play.pass(0.3);
+    ServerId candidate = 0;
+    for (size_t i = before; i < play.done.size(); ++i)
+        if (play.done[i].what == "probe" && play.done[i].server != bad) candidate = play.done[i].server;
+    REQUIRE(candidate != 0);
+    CHECK(pool.count(candidate) == 0);
+    play.balancer->probed(play.now, candidate, true);
+    play.balancer->probed(play.now, bad, true);        // restored too late: it has left the pool
+    play.pass(6);
+    std::set<ServerId> used;
+    for (CallId id = 11; id <= 16; ++id) used.insert(play.call(id));
+    CHECK(used.count(candidate) == 1);
+    CHECK(used.count(bad) == 0);
+}
+
+TEST_CASE("the same events give the same actions") {
+    std::vector<std::string> seen[2];
+    for (auto& log : seen) {
+        Play play("Limits.MayDuplicate=true", 9);
+        play.answer_some(50, 0.03);
+        for (CallId id = 1; id < 60; ++id) {
+            play.call(id, id % 3);
+            play.pass(0.07);
+            if (id > 5) play.end(id - 5, id % 7 ? Outcome::fulfilled : Outcome::full);
+        }
+        for (const auto& d : play.done) log.push_back(d.what + std::to_string(d.call) + "/" + std::to_string(d.server));
+    }
+    CHECK(seen[0] == seen[1]);
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
