--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,6 +21,7 @@
 constexpr Span hair{1e-6};                         // what rounding may take off a wake's time
 constexpr Span most_silence{1};
 constexpr double outstanding = 0.1;                // share of failures above the median's
+constexpr double slow = 1.5;                       // times the median's pace, for a member to count as slow
 constexpr double most_wait = 0.7;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
@@ -150,14 +151,16 @@
         Product& p = *shot.call->product;
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
         // A shot given up mostly still runs or waits at its server, so it counts on until one sent later is answered.
-        if (shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled) s.ghosts.push_back(shot.sent);
+        const bool given_up = shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled;
+        if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back(shot.sent);
         else note_in_flight(-1);
-        if (shot.outcome == Outcome::fulfilled) done_.add(desk_.now, 0);
-        if (shot.outcome == Outcome::fulfilled) lay_ghosts(s, shot.sent);
         const double took = (desk_.now - shot.sent).s;
         switch (shot.outcome) {
             case Outcome::fulfilled:
                 heard(s);
+                s.answered_sent = std::max(s.answered_sent, shot.sent);
+                lay_ghosts(s, shot.sent);
+                done_.add(desk_.now, 0);
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
                 s.record.add(desk_.now, slowness, std::min(took / p.took, penalty_weight));
@@ -239,8 +242,10 @@
             if (!s->ghosts.empty()) lay_ghosts(*s, desk_.now - penalty);
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
-            s->failing = std::max(0.0, (bad + few * share) / (n + bad + few) - share);
-            s->pace = (s->record.total(desk_.now, slowness) + few * pace) / ((n + few) * pace);
+            const double above = (bad + few * share) / (n + bad + few) - share;
+            s->failing = above > outstanding ? above : 0;
+            const double slower = (s->record.total(desk_.now, slowness) + few * pace) / ((n + few) * pace);
+            s->pace = slower > slow ? slower : 1;   // nothing small may decide in the place of random ties
             if (s->quarantined && desk_.now >= s->next_probe) {
                 s->next_probe = desk_.now + most_silence;
                 probe(*s);
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -66,6 +66,7 @@
     Time penalty_until = long_ago;
     Time joined = long_ago;        // when it became a pool member
     Time last_heard = long_ago;
+    Time answered_sent = long_ago; // when the latest-sent of its answered shots was sent
     Time next_probe = long_ago;    // of a quarantined one
     bool member = false, quarantined = false, probing = false;
     bool silent = false;           // last word was silence: no answer since
