--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,7 +62,9 @@
 
 class Fleet {
 public:
-    explicit Fleet(Desk& desk) : desk_(desk), sends_(interval), done_(most_silence * 2) {}
+    explicit Fleet(Desk& desk) : desk_(desk), sends_(interval), done_(most_silence * 2) {
+        for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
+    }
     const std::vector<Server*>& members() const { return members_; }
     Server* find(ServerId id) {
         const auto it = known_.find(id);
@@ -125,7 +127,7 @@
     // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised members are
     // for the time when no other is left; and when no member may take it, any listed server beats no answer.
     Server* choose(const Call& c) {
-        room_ = rate_ * (c.arrived + c.product->slo - desk_.now).s * most_wait * worthiness(c);
+        room_ = rate_ * (least_slo_ - (desk_.now - c.arrived)).s * most_wait * worthiness(c);
         strength_ = 1e-9;
         for (auto* s : members_)
             if (!s->quarantined && desk_.now >= s->penalty_until) strength_ += strength(*s);
@@ -413,6 +415,7 @@
     double size_sum_ = 0;
     Ring<1> sends_, done_;
     double median_share_ = 0;
+    Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     double rate_ = 0;   // answers a second, at best lately
     double room_ = 0;   // calls that the pool may hold, for the call being placed
     double strength_ = 1;   // of the members in service, together
