--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -191,7 +191,9 @@
     }
 
     // Silence: a shot has waited this long while its server said nothing at all and others answered.
-    Span silence(const Call& c) const { return std::min(most_silence, (c.give_up - c.arrived) * 0.5); }
+    Span silence(const Call& c) const {
+        return std::min(most_silence, std::max((c.give_up - c.arrived) * 0.5, c.product->slo));
+    }
     void heard_nothing(const Shot& shot) {
         Server& s = *shot.server;
         if (s.last_heard >= shot.sent || last_heard_ <= shot.sent || s.quarantined) return;
