--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -108,10 +108,12 @@
         in_flight_ += delta;
         peak_ = std::max(peak_, in_flight_);
         // A burst is over before the interval is, so growth does not wait for it; shrinking does.
-        if (in_flight_ > static_cast<int>(members_.size()) && members_.size() < order_.size()) {
-            target_ = members_.size() + 1;
-            refill();
-        }
+        if (in_flight_ > static_cast<int>(members_.size())) grow();
+    }
+    void grow() {
+        if (members_.size() >= order_.size()) return;
+        target_ = members_.size() + 1;
+        refill();
     }
     int in_flight() const { return in_flight_; }
     size_t floor() const {
@@ -136,6 +138,10 @@
             for (const bool penalised : {false, true}) {
                 bool full = false;
                 best = pick(*among, c, penalised, full);
+                if (full && !best && desk_.now >= next_growth_) {
+                    next_growth_ = desk_.now + most_silence;
+                    grow();
+                }
                 if (best || full) return best;
             }
         return best;
@@ -351,7 +357,7 @@
         const double mean = members_.empty() ? 0 : static_cast<double>(in_flight_) / members_.size();
         Server* best = nullptr;
         double least = std::numeric_limits<double>::infinity();
-        uint32_t ties = 0;
+        double tied = 0;
         for (auto* s : among) {
             if (s->quarantined || s->state != State::ready || !may_send(c, *s, desk_.now)) continue;
             if ((desk_.now < s->penalty_until) != penalised) continue;
@@ -362,17 +368,19 @@
                 continue;
             }
             const double cost = busyness(*s, c, mean, warm);
-            if (cost > least || (cost == least && desk_.chance.next() % ++ties != 0)) continue;
-            if (cost < least) ties = 1;
+            if (cost > least) continue;
+            if (cost < least) tied = 0;
+            const double weight = s->size * warm / s->pace;   // idle members tie whatever their size
+            tied += weight;
+            if (desk_.chance.share() * tied < weight) best = s;
             least = cost;
-            best = s;
         }
         return best;
     }
     double busyness(const Server& s, const Call& c, double mean, double warm) const {
         double own = static_cast<double>(s.held());
         if (desk_.now < s.joined + penalty) own = std::max(own, mean);   // a newcomer is not flooded for being empty
-        double cost = (own + 1) / (s.size * members_.size() / std::max(size_sum_, s.size) * warm) * s.pace;
+        double cost = own / (s.size * members_.size() / std::max(size_sum_, s.size) * warm) * s.pace;
         cost += penalty_weight * s.failing;
         // What must not run twice does not try out a server whose last word was silence.
         if (s.silent && !idempotent(c)) cost += penalty_weight;
@@ -421,7 +429,7 @@
     double rate_ = 0;   // answers a second, at best lately
     double room_ = 0;   // calls that the pool may hold, for the call being placed
     double strength_ = 1;   // of the members in service, together
-    Time last_heard_ = long_ago, next_replacement_ = long_ago;
+    Time last_heard_ = long_ago, next_replacement_ = long_ago, next_growth_ = long_ago;
     Server* replacement_ = nullptr;
     Server* replaced_ = nullptr;
 };
