--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -344,7 +344,7 @@
     // crowd a large fleet. Worthier work may use more of its SLO.
     bool has_room(const Server& s) const {
         return s.held() < std::max(1.0, room_ * strength(s) / strength_) &&
-               in_flight_ < std::max(static_cast<double>(floor()), room_);
+               in_flight_ < std::max(1.0 * order_.size() / desk_.set.balancers, room_);
     }
     double worthiness(const Call& c) const {
         double best = 0;
