--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -108,12 +108,10 @@
         in_flight_ += delta;
         peak_ = std::max(peak_, in_flight_);
         // A burst is over before the interval is, so growth does not wait for it; shrinking does.
-        if (in_flight_ > static_cast<int>(members_.size())) grow();
-    }
-    void grow() {
-        if (members_.size() >= order_.size()) return;
-        target_ = members_.size() + 1;
-        refill();
+        if (in_flight_ > static_cast<int>(members_.size()) && members_.size() < order_.size()) {
+            target_ = members_.size() + 1;
+            refill();
+        }
     }
     int in_flight() const { return in_flight_; }
     size_t floor() const {
@@ -138,10 +136,6 @@
             for (const bool penalised : {false, true}) {
                 bool full = false;
                 best = pick(*among, c, penalised, full);
-                if (full && !best && desk_.now >= next_growth_) {
-                    next_growth_ = desk_.now + most_silence;
-                    grow();
-                }
                 if (best || full) return best;
             }
         return best;
@@ -344,7 +338,7 @@
     // crowd a large fleet. Worthier work may use more of its SLO.
     bool has_room(const Server& s) const {
         return s.held() < std::max(1.0, room_ * strength(s) / strength_) &&
-               in_flight_ < std::max(1.0 * order_.size() / desk_.set.balancers, room_);
+               in_flight_ < std::max(static_cast<double>(floor()), room_);
     }
     double worthiness(const Call& c) const {
         double best = 0;
@@ -429,7 +423,7 @@
     double rate_ = 0;   // answers a second, at best lately
     double room_ = 0;   // calls that the pool may hold, for the call being placed
     double strength_ = 1;   // of the members in service, together
-    Time last_heard_ = long_ago, next_replacement_ = long_ago, next_growth_ = long_ago;
+    Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server* replacement_ = nullptr;
     Server* replaced_ = nullptr;
 };
