--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,7 +62,7 @@
 
 class Fleet {
 public:
-    explicit Fleet(Desk& desk) : desk_(desk), sends_(interval), done_(most_silence * 2) {
+    explicit Fleet(Desk& desk) : desk_(desk), sends_(interval), done_(most_silence * 2), started_(desk.now) {
         for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
     }
     const std::vector<Server*>& members() const { return members_; }
@@ -232,7 +232,7 @@
 
     // Every tick: judge each member against the fleet's median, look after the quarantined, replace repeat offenders.
     void look() {
-        rate_ = std::max(rate_ * 0.95, done_.total(desk_.now, 0) / (most_silence * 2).s);
+        rate_ = std::max(rate_ * 0.95, done_.total(desk_.now, 0) / std::min(desk_.now - started_, most_silence * 2).s);
         std::vector<double> shares, paces;
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
@@ -335,10 +335,11 @@
     // By Little's law a call that joins those held at a server is answered after about their number over the server's rate
     // of answers. It is kept off where that leaves too little of its SLO, and rate-limited early where all are so full. As
     // many calls as the pool's floor are always let in, so that the rate can show itself: more, and many balancers would
-    // crowd a large fleet. Worthier work may use more of its SLO.
+    // crowd a large fleet. Just after its start a balancer has no rate to go by: then one call a member.
+    // Worthier work may use more of its SLO.
     bool has_room(const Server& s) const {
         return s.held() < std::max(1.0, room_ * strength(s) / strength_) &&
-               in_flight_ < std::max(static_cast<double>(floor()), room_);
+               (desk_.now < started_ + most_silence || in_flight_ < std::max(static_cast<double>(floor()), room_));
     }
     double worthiness(const Call& c) const {
         double best = 0;
@@ -420,6 +421,7 @@
     Ring<1> sends_, done_;
     double median_share_ = 0;
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
+    Time started_;
     double rate_ = 0;   // answers a second, at best lately
     double room_ = 0;   // calls that the pool may hold, for the call being placed
     double strength_ = 1;   // of the members in service, together
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -292,6 +292,16 @@
     CHECK(play.call(200) != 0);
 }
 
+TEST_CASE("before any rate can show itself a fresh balancer lets in one call a member, later the floor") {
+    struct Case { double after; int let_in; };
+    const auto c = GENERATE(Case{0.1, 10}, Case{1.1, 5});
+    Play play("Balancers=12", 20);
+    play.pass(c.after);
+    int sent = 0;
+    for (CallId id = 1; id <= 40; ++id) sent += play.call(id) != 0;
+    CHECK(sent == c.let_in);
+}
+
 TEST_CASE("an overdue call gets a second copy where allowed, and copies dry up when they do not help") {
     struct Case { uint32_t product; bool allowed; int sends; };
     const auto c = GENERATE(Case{0, true, 2}, Case{1, true, 2}, Case{2, true, 1}, Case{0, false, 1});
