Limit the own zone and the others apart where the price of crossing outweighs a call

Cause: one bound for the whole pool, ruled by the jammed zone's rate, and a pool of its own zone's servers only. Now each side has its bound and the pool grows by one a second while turning calls away.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -108,10 +108,12 @@
         in_flight_ += delta;
         peak_ = std::max(peak_, in_flight_);
         // A burst is over before the interval is, so growth does not wait for it; shrinking does.
-        if (in_flight_ > static_cast<int>(members_.size()) && members_.size() < order_.size()) {
-            target_ = members_.size() + 1;
-            refill();
-        }
+        if (in_flight_ > static_cast<int>(members_.size())) grow();
+    }
+    void grow() {
+        if (members_.size() >= order_.size()) return;
+        target_ = members_.size() + 1;
+        refill();
     }
     int in_flight() const { return in_flight_; }
     size_t floor() const {
@@ -127,15 +129,23 @@
     // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised members are
     // for the time when no other is left; and when no member may take it, any listed server beats no answer.
     Server* choose(const Call& c) {
-        room_ = rate_ * (least_slo_ - (desk_.now - c.arrived)).s * most_wait * worthiness(c);
-        strength_ = 1e-9;
-        for (auto* s : members_)
-            if (!s->quarantined && desk_.now >= s->penalty_until) strength_ += strength(*s);
+        const double wait = (least_slo_ - (desk_.now - c.arrived)).s * most_wait * worthiness(c);
+        for (auto& side : sides_) side = {side.rate, side.rate * wait};
+        for (auto* s : members_) {
+            auto& side = sides_[far(*s)];
+            side.floor += 1.0 * floor() / members_.size();
+            side.held += s->held();
+            if (!s->quarantined && desk_.now >= s->penalty_until) side.strength += strength(*s);
+        }
         Server* best = nullptr;
         for (const auto* among : {&members_, &order_})
             for (const bool penalised : {false, true}) {
                 bool full = false;
                 best = pick(*among, c, penalised, full);
+                if (full && !best && price_of_crossing() > 1 && desk_.now >= next_growth_) {
+                    next_growth_ = desk_.now + most_silence;   // slowly: a pool spread thin knows less of each member
+                    grow();
+                }
                 if (best || full) return best;
             }
         return best;
@@ -162,7 +172,7 @@
                 heard(s);
                 s.answered_sent = std::max(s.answered_sent, shot.sent);
                 lay_ghosts(s, shot.sent);
-                done_.add(desk_.now, 0);
+                done_.add(desk_.now, far(s));
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
                 s.record.add(desk_.now, slowness, std::min(took / p.took, penalty_weight));
@@ -232,7 +242,9 @@
 
     // Every tick: judge each member against the fleet's median, look after the quarantined, replace repeat offenders.
     void look() {
-        rate_ = std::max(rate_ * 0.95, done_.total(desk_.now, 0) / std::min(desk_.now - started_, most_silence * 2).s);
+        for (const int i : {0, 1})
+            sides_[i].rate = std::max(sides_[i].rate * 0.95,
+                                      done_.total(desk_.now, i) / std::min(desk_.now - started_, most_silence * 2).s);
         std::vector<double> shares, paces;
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
@@ -328,7 +340,7 @@
     // allows, taking what warm servers of like size get from this balancer as their capacity's own share.
     bool within_budget(Server& s, double warm) {
         if (warm >= 1) return true;
-        const double usual = sends_.total(desk_.now, 0) / interval.s * s.size / std::max(strength_, s.size);
+        const double usual = sends_.total(desk_.now, 0) / interval.s * s.size / std::max(sides_[0].strength + sides_[1].strength, s.size);
         const double budget = desk_.set.tip_multiple * warm * usual * desk_.set.fall_window.s / 2;
         return s.sends.total(desk_.now, 0) + 1 <= std::max(1.0, budget);
     }
@@ -338,9 +350,14 @@
     // crowd a large fleet. Just after its start a balancer has no rate to go by: then one call a member.
     // Worthier work may use more of its SLO.
     bool has_room(const Server& s) const {
-        return s.held() < std::max(1.0, room_ * strength(s) / strength_) &&
-               (desk_.now < started_ + most_silence || in_flight_ < std::max(static_cast<double>(floor()), room_));
-    }
+        const auto& side = sides_[far(s)];
+        return s.held() < std::max(1.0, side.room * strength(s) / std::max(side.strength, strength(s))) &&
+               (desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room));
+    }
+    // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone with more
+    // traffic than servers would turn calls away next to idle ones.
+    bool far(const Server& s) const { return s.zone != desk_.set.zone && price_of_crossing() > 1; }
+    double price_of_crossing() const { return desk_.set.cross_price * penalty_weight; }   // in calls in flight
     double worthiness(const Call& c) const {
         double best = 0;
         for (const auto& p : desk_.set.products) best = std::max(best, density(p));
@@ -379,7 +396,7 @@
         cost += penalty_weight * s.failing;
         // What must not run twice does not try out a server whose last word was silence.
         if (s.silent && !idempotent(c)) cost += penalty_weight;
-        if (s.zone != desk_.set.zone) cost += desk_.set.cross_price * penalty_weight;
+        if (s.zone != desk_.set.zone) cost += price_of_crossing();
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
         return cost;
@@ -418,14 +435,17 @@
     size_t target_ = first_size;
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0;
-    Ring<1> sends_, done_;
+    Ring<1> sends_;
+    Ring<2> done_;      // answers from the own zone and from the others
     double median_share_ = 0;
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
-    double rate_ = 0;   // answers a second, at best lately
-    double room_ = 0;   // calls that the pool may hold, for the call being placed
-    double strength_ = 1;   // of the members in service, together
-    Time last_heard_ = long_ago, next_replacement_ = long_ago;
+    struct Side {
+        double rate = 0;       // answers a second, at best lately
+        double room = 0;       // calls that it may hold, for the call being placed
+        double floor = 0, held = 0, strength = 0;
+    } sides_[2];
+    Time last_heard_ = long_ago, next_replacement_ = long_ago, next_growth_ = long_ago;
     Server* replacement_ = nullptr;
     Server* replaced_ = nullptr;
 };
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -292,6 +292,20 @@
     CHECK(play.call(200) != 0);
 }
 
+TEST_CASE("where crossing is priced calls stay in their zone until it is full, then the pool reaches out") {
+    struct Case { int in_flight; bool crosses; };
+    const auto c = GENERATE(Case{2, false}, Case{30, true});
+    Play play("Balancers=3\nPrices.CrossZone=0.2\nProducts.0.LatencySloS=0.3", 0);
+    for (ServerId id = 1; id <= 12; ++id) play.list({{id, State::ready, long_ago, uint16_t(id % 2)}});
+    bool crossed = false;
+    for (CallId id = 1; id <= 600; ++id) {
+        crossed |= play.call(id) % 2 == 1;
+        play.pass(0.02);
+        if (id > 20u * c.in_flight / 30) play.end(id - 20u * c.in_flight / 30, Outcome::fulfilled);
+    }
+    CHECK(crossed == c.crosses);
+}
+
 TEST_CASE("before any rate can show itself a fresh balancer lets in one call a member, later the floor") {
     struct Case { double after; int let_in; };
     const auto c = GENERATE(Case{0.1, 10}, Case{1.1, 5});
