--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,7 +21,6 @@
 constexpr Span hair{1e-6};                         // what rounding may take off a wake's time
 constexpr Span most_silence{1};
 constexpr double outstanding = 0.1;                // share of failures above the median's
-constexpr double slow = 1.5;                       // times the median's pace, for a member to count as slow
 constexpr double most_wait = 0.7;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
@@ -175,7 +174,6 @@
                 done_.add(desk_.now, far(s));
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
-                s.record.add(desk_.now, slowness, std::min(took / p.took, penalty_weight));
                 return;
             case Outcome::errored:
                 heard(s);
@@ -245,23 +243,15 @@
         for (const int i : {0, 1})
             sides_[i].rate = std::max(sides_[i].rate * 0.95,
                                       done_.total(desk_.now, i) / std::min(desk_.now - started_, most_silence * 2).s);
-        std::vector<double> shares, paces;
+        std::vector<double> shares;
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
-            if (n + bad == 0) continue;
-            shares.push_back(bad / (n + bad));
-            if (n > 0) paces.push_back(s->record.total(desk_.now, slowness) / n);
+            if (n + bad > 0) shares.push_back(bad / (n + bad));
         }
-        const double share = median_share_ = median(shares, 0), pace = std::max(0.1, median(paces, 1));
-        const double few = least_size;   // answers seen before a server's own record outweighs the fleet's
+        median_share_ = median(shares, 0);
         for (auto* s : listed_)
             if (!s->ghosts.empty()) lay_ghosts(*s, desk_.now - penalty);
         for (auto* s : members_) {
-            const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
-            const double above = (bad + few * share) / (n + bad + few) - share;
-            s->failing = above > outstanding ? above : 0;
-            const double slower = (s->record.total(desk_.now, slowness) + few * pace) / ((n + few) * pace);
-            s->pace = slower > slow ? slower : 1;   // nothing small may decide in the place of random ties
             if (s->quarantined && desk_.now >= s->next_probe) {
                 s->next_probe = desk_.now + most_silence;
                 probe(*s);
@@ -382,7 +372,7 @@
             const double cost = busyness(*s, c, mean, warm);
             if (cost > least) continue;
             if (cost < least) tied = 0;
-            const double weight = s->size * warm / s->pace;   // idle members tie whatever their size
+            const double weight = s->size * warm;   // idle members tie whatever their size
             tied += weight;
             if (desk_.chance.share() * tied < weight) best = s;
             least = cost;
@@ -392,8 +382,7 @@
     double busyness(const Server& s, const Call& c, double mean, double warm) const {
         double own = static_cast<double>(s.held());
         if (desk_.now < s.joined + penalty) own = std::max(own, mean);   // a newcomer is not flooded for being empty
-        double cost = own / (s.size * members_.size() / std::max(size_sum_, s.size) * warm) * s.pace;
-        cost += penalty_weight * s.failing;
+        double cost = own / (s.size * members_.size() / std::max(size_sum_, s.size) * warm);
         // What must not run twice does not try out a server whose last word was silence.
         if (s.silent && !idempotent(c)) cost += penalty_weight;
         if (s.zone != desk_.set.zone) cost += price_of_crossing();
@@ -483,41 +472,30 @@
     std::vector<Stage*> stages_;
 };
 
-// Further shots: after a failure elsewhere, and a second copy next to one that is overdue. How many are made follows how
-// many of the recent ones were fulfilled in time, so in wide trouble they dry up instead of adding to it.
+// Further shots, elsewhere, after a failure or a cancel. How many are made follows how many of the recent ones were
+// fulfilled in time, so in wide trouble they dry up instead of adding to it.
 class Further : public Stage {
 public:
     Further(Desk& desk, Chain& chain) : desk_(desk), chain_(chain), recent_(interval) {}
-    Step there(Call& c) override {
+    Step there(Call&) override {
         recent_.add(desk_.now, calls);
-        c.copy_at = desk_.now + copy_after(*c.product);
-        if (desk_.set.duplicate && c.product->repeat != Repeat::non_idempotent)
-            desk_.out.wake(c.copy_at - desk_.now, c.id);
         return Step::pass;
     }
-    void later(Call& c) override {
-        if (c.ended || c.streaming || c.out != 1 || !desk_.set.duplicate || desk_.now + hair < c.copy_at) return;
-        if (c.product->repeat == Repeat::non_idempotent || !worthwhile(c)) return;
-        chain_.there(c, this);
-    }
     Step back(Call& c, Shot& shot) override {
-        if (shot.further && shot.outcome == Outcome::fulfilled && desk_.now <= c.arrived + c.product->slo)
+        if (shot.number > 0 && shot.outcome == Outcome::fulfilled && desk_.now <= c.arrived + c.product->slo)
             recent_.add(desk_.now, won);
-        if (c.ended || c.out > 0 || shot.outcome == Outcome::fulfilled || !worthwhile(c)) return Step::pass;
+        if (c.ended || shot.outcome == Outcome::fulfilled || !worthwhile(c)) return Step::pass;
+        recent_.add(desk_.now, made);
         return chain_.there(c, this);
     }
 
 private:
     enum { calls, made, won, lanes };
-    // As late as a copy can still answer in time.
-    static Span copy_after(const Product& p) { return {std::max(p.slo.s - 2.5 * p.took, std::max(1.5 * p.took, p.slo.s / 4))}; }
     bool worthwhile(const Call& c) {
         if (static_cast<int>(c.shots.size()) >= desk_.set.max_shots) return false;
         if (desk_.now + Span{c.product->took} >= useful_until(c)) return false;
         const double success = (recent_.total(desk_.now, won) + 2) / (recent_.total(desk_.now, made) + 2);
-        if (recent_.total(desk_.now, made) >= 2 + recent_.total(desk_.now, calls) * success / 2) return false;
-        recent_.add(desk_.now, made);
-        return true;
+        return recent_.total(desk_.now, made) < 2 + recent_.total(desk_.now, calls) * success / 2;
     }
     Desk& desk_;
     Chain& chain_;
@@ -530,30 +508,25 @@
     Send(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet) {}
     Step there(Call& c) override {
         Server* server = fleet_.choose(c);
-        if (!server) return c.out > 0 ? Step::keep : Step::end;
+        if (!server) return Step::end;
         Shot shot;
         shot.call = &c;
         shot.server = server;
         shot.sent = desk_.now;
         shot.number = static_cast<int>(c.shots.size());
-        shot.further = shot.number > 0;
         c.shots.push_back(shot);
-        ++c.out;
         desk_.out.send(c.id, server->id, c.give_up - desk_.now);
         desk_.out.wake(fleet_.silence(c), c.id);
         fleet_.sent(c.shots.back());
-        return Step::pass;
+        return Step::keep;
     }
     Step back(Call&, Shot& shot) override {
         fleet_.ended(shot);
         return Step::pass;
     }
     void later(Call& c) override {
-        for (auto& shot : c.shots)
-            if (shot.out && !shot.heard_silent && desk_.now - shot.sent + hair >= fleet_.silence(c)) {
-                shot.heard_silent = true;
-                fleet_.heard_nothing(shot);
-            }
+        if (!c.shots.empty() && c.shots.back().out && desk_.now - c.shots.back().sent + hair >= fleet_.silence(c))
+            fleet_.heard_nothing(c.shots.back());
     }
 
 private:
@@ -609,9 +582,7 @@
     void stream_began(Time now, CallId id, int shot) override {
         desk_.now = now;
         const auto it = calls_.find(id);
-        if (it == calls_.end() || it->second.streaming) return;
-        it->second.streaming = true;
-        call_off_others(it->second, shot);
+        if (it != calls_.end()) it->second.streaming = shot + 1 == static_cast<int>(it->second.shots.size());
     }
     void shot_ended(Time now, CallId id, int number, Outcome outcome, bool call_done) override {
         desk_.now = now;
@@ -622,11 +593,8 @@
         Shot& shot = c.shots[number];
         shot.out = false;
         shot.outcome = outcome;
-        --c.out;
-        const bool open = !c.ended;
         if (call_done) c.ended = true;
-        if (chain_.back(c, shot) == Step::end && !c.ended && c.out == 0) answer(c);
-        if (open && c.ended) call_off_others(c, number);
+        if (chain_.back(c, shot) == Step::end && !c.ended) answer(c);
         forget_if_over(c);
     }
     void probed(Time now, ServerId id, bool reply) override {
@@ -659,17 +627,10 @@
     }
     void over(Call& c) {
         c.ended = true;
-        call_off_others(c, -1);
-    }
-    void call_off_others(Call& c, int but) {
-        for (auto& shot : c.shots)
-            if (desk_.set.cancel && shot.out && !shot.called_off && shot.number != but) {
-                shot.called_off = true;
-                desk_.out.cancel(c.id, shot.number);
-            }
+        if (c.out() && desk_.set.cancel && !c.streaming) desk_.out.cancel(c.id, c.shots.back().number);
     }
     void forget_if_over(Call& c) {
-        if (c.ended && c.out == 0) calls_.erase(c.id);
+        if (c.ended && !c.out()) calls_.erase(c.id);
     }
 
     Desk desk_;
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -17,7 +17,7 @@
     std::vector<double> allowances;   // API calls a second a tenant may make across all balancers
     int balancers = 1, me = 0;
     uint16_t zone = 0;
-    bool pushed = true, probing = false, cancel = false, duplicate = false, retry_after = false;
+    bool pushed = true, probing = false, cancel = false, retry_after = false;
     int max_shots = 1;
     Span max_retry_after, ask_within, fall_window, warm_after;
     double start_capacity = 1, tip_multiple = 1;
@@ -49,7 +49,6 @@
         s.pushed = one_of("Discovery", {"pushed", "on_request"}) == 0;
         s.probing = yes("Limits.Probing");
         s.cancel = yes("Limits.Cancel");
-        s.duplicate = yes("Limits.MayDuplicate");
         s.retry_after = yes("Limits.RetryAfter");
         s.max_shots = std::max(1, count("Limits.MaxShots", number("Limits.MaxShots")));
         s.max_retry_after = {number("Limits.MaxRetryAfterS", 0)};
