--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -351,7 +351,7 @@
     double worthiness(const Call& c) const {
         double best = 0;
         for (const auto& p : desk_.set.products) best = std::max(best, density(p));
-        return best > 0 ? 0.7 + 0.3 * density(*c.product) / best : 1;
+        return best > 0 ? 0.6 + 0.4 * density(*c.product) / best : 1;
     }
     static double density(const Product& p) { return p.took > 0 ? p.value / p.took : 0; }
 
