--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -91,7 +91,9 @@
 public:
     Instance(uint32_t number, Reply& reply) : number_(number), reply_(reply) {}
 
-    void send(CallId call, ServerId server, Span try_for) override { record(1110, call, Address(server), try_for.s); }
+    void send(CallId call, ServerId server, Span try_for) override {
+        record(1110, call, Address(server), try_for.s);
+    }
     void cancel(CallId call, int shot) override { record(1020, call, static_cast<uint16_t>(shot)); }
     void rate_limit(CallId call, Span come_back) override { record(1030, call, come_back.s); }
     void error(CallId call) override { record(1050, call); }
@@ -267,7 +269,8 @@
         if (size < sizeof header) throw BadInput("a frame is shorter than its header");
         if (!std::isfinite(clock)) throw BadInput("the clock is no finite number");
         batch.resize(size - sizeof header);
-        if (!in.read(batch.data(), static_cast<std::streamsize>(batch.size()))) throw BadInput("a frame is cut off");
+        if (!in.read(batch.data(), static_cast<std::streamsize>(batch.size())))
+            throw BadInput("a frame is cut off");
         const auto& reply = door.answer(Time{clock}, Reader(batch.data(), batch.size()));
         out.write(reply.data(), static_cast<std::streamsize>(reply.size()));
         out.flush();
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,8 @@
-// All decisions of myrtleroute: where each API call's shots go while things fail. The adapter (later the proxy) calls
-// the events of Balancer and carries out what comes back through Actions; both stand in logic.hpp. The mechanism
-// is that of docs/design.md. Below: Desk (what all share), Fleet (list, pool, choice, health), the stages of the chain
-// from the API call's side to the servers' side, and at the end the Balancer, which feeds events to them.
+// All decisions of myrtleroute: where each API call's shots go while things fail. The adapter (later the
+// proxy) calls the events of Balancer and carries out what comes back through Actions; both stand in
+// logic.hpp. The mechanism is that of docs/design.md. Below: Desk (what all share), Fleet (list, pool,
+// choice, health), the stages of the chain from the API call's side to the servers' side, and at the end the
+// Balancer, which feeds events to them.
 #include "logic.hpp"
 
 #include <algorithm>
@@ -55,7 +56,8 @@
 
 // A rate-limit reply tells the client that a retry is harmless.
 bool may_rate_limit(const Call& c) {
-    if (idempotent(c) || (c.product->repeat == Repeat::deduplicated && c.product->group == Group::all)) return true;
+    if (idempotent(c)) return true;
+    if (c.product->repeat == Repeat::deduplicated && c.product->group == Group::all) return true;
     return std::none_of(c.shots.begin(), c.shots.end(), [](const Shot& s) { return s.may_have_run(); });
 }
 
@@ -64,7 +66,6 @@
     explicit Fleet(Desk& desk) : desk_(desk), sends_(interval), done_(most_silence * 2), started_(desk.now) {
         for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
     }
-    const std::vector<Server*>& members() const { return members_; }
     Server* find(ServerId id) {
         const auto it = known_.find(id);
         return it == known_.end() ? nullptr : it->second.get();
@@ -94,15 +95,15 @@
         arrange();
         refill();
     }
-    // Asks again with growing, random waits, so that many balancers do not press on a list service in trouble, and
-    // always within AskWithin, so that no drain goes unheard.
+    // Asks again with growing, random waits, so that many balancers do not press on a list service in
+    // trouble, and always within AskWithin, so that no drain goes unheard.
     void list_failed() {
         const Span wait = desk_.set.ask_within * (std::min(16, 1 << asked_again_) / 40.0);
         asked_again_ = std::min(4, asked_again_ + 1);
         desk_.out.wake(wait * (0.5 + desk_.chance.share() / 2), list_cookie);
     }
 
-    // The pool: members() are the first of order_ that are in service, so each balancer has a stable part of its own.
+    // The pool: members_ are the first of order_, so that each balancer has a stable part of its own.
     void note_in_flight(int delta) {
         in_flight_ += delta;
         peak_ = std::max(peak_, in_flight_);
@@ -114,19 +115,19 @@
         target_ = members_.size() + 1;
         refill();
     }
-    int in_flight() const { return in_flight_; }
     size_t floor() const {
         return std::max(least_size, (3 * order_.size() + desk_.set.balancers - 1) / desk_.set.balancers);
     }
     void resize() {
         const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
-        target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // the source shrinks by two at most
+        target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
         peak_ = in_flight_;
         refill();
     }
 
-    // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised members are
-    // for the time when no other is left; and when no member may take it, any listed server beats no answer.
+    // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised
+    // members are for the time when no other is left; and when no member may take it, any listed server beats
+    // no answer.
     Server* choose(const Call& c) {
         const double wait = (least_slo_ - (desk_.now - c.arrived)).s * most_wait * worthiness(c);
         for (auto& side : sides_) side = {side.rate, side.rate * wait};
@@ -136,18 +137,17 @@
             side.held += s->held();
             if (!s->quarantined && desk_.now >= s->penalty_until) side.strength += strength(*s);
         }
-        Server* best = nullptr;
+        bool full = false;
         for (const auto* among : {&members_, &order_})
-            for (const bool penalised : {false, true}) {
-                bool full = false;
-                best = pick(*among, c, penalised, full);
-                if (full && !best && price_of_crossing() > 1 && desk_.now >= next_growth_) {
-                    next_growth_ = desk_.now + most_silence;   // slowly: a pool spread thin knows less of each member
-                    grow();
+            for (const bool penalised : {false, true})
+                if (auto* best = pick(*among, c, penalised, full); best || full) {
+                    if (!best && price_of_crossing() > 1 && desk_.now >= next_growth_) {
+                        next_growth_ = desk_.now + most_silence;   // slowly: spread thin it learns less
+                        grow();
+                    }
+                    return best;
                 }
-                if (best || full) return best;
-            }
-        return best;
+        return nullptr;
     }
 
     void sent(Shot& shot) {
@@ -161,7 +161,7 @@
         Server& s = *shot.server;
         Product& p = *shot.call->product;
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
-        // A shot given up mostly still runs or waits at its server, so it counts on until one sent later is answered.
+        // A shot given up mostly still runs or waits there, so it counts until one sent later is answered.
         const bool given_up = shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled;
         if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back(shot.sent);
         else note_in_flight(-1);
@@ -175,9 +175,7 @@
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
                 return;
-            case Outcome::errored:
-                heard(s);
-                return blame(s, stands_out(s));
+            case Outcome::errored: heard(s); return blame(s, stands_out(s));
             case Outcome::full: heard(s); return blame(s);
             case Outcome::reset: return blame(s);
             case Outcome::connect_failed:
@@ -186,7 +184,7 @@
                 lay_ghosts(s, desk_.now);
                 return blame(s);
             case Outcome::timed_out:
-                // A server that answered others meanwhile was not silent: the call may have been the heavy thing.
+                // A server that answered others meanwhile was not silent: the call itself may be heavy.
                 if (s.last_heard >= shot.sent) return blame(s, stands_out(s));
                 s.silent = true;
                 return blame(s);
@@ -195,7 +193,8 @@
     }
 
     void lay_ghosts(Server& s, Time sent_by) {
-        note_in_flight(-static_cast<int>(std::erase_if(s.ghosts, [&](Time sent) { return sent <= sent_by; })));
+        const auto laid = std::erase_if(s.ghosts, [&](Time sent) { return sent <= sent_by; });
+        note_in_flight(-static_cast<int>(laid));
     }
 
     // Silence: a shot has waited this long while its server said nothing at all and others answered.
@@ -223,10 +222,12 @@
             settle_trial(s);
             return;
         }
+        if (&s == replacement_) replacement_ = nullptr;   // then the old one stays
         if (s.quarantined || !s.member || s.state != State::ready) return;
         // Wide trouble is no member's fault: never more than half the pool.
-        const auto out = std::count_if(members_.begin(), members_.end(), [](auto* m) { return m->quarantined; });
-        if (2 * (out + 1) > static_cast<long>(members_.size())) return;
+        size_t out = 1;
+        for (auto* m : members_) out += m->quarantined;
+        if (2 * out > members_.size()) return;
         s.quarantined = true;
         ++s.offences;
         desk_.out.log("no answer and no probe reply, quarantined:", s.id);
@@ -238,24 +239,22 @@
             }
     }
 
-    // Every tick: judge each member against the fleet's median, look after the quarantined, replace repeat offenders.
+    // Every tick: take rates and the median, look after the quarantined, replace repeat offenders.
     void look() {
+        const Span seen = std::min(desk_.now - started_, most_silence * 2);
         for (const int i : {0, 1})
-            sides_[i].rate = std::max(sides_[i].rate * 0.95,
-                                      done_.total(desk_.now, i) / std::min(desk_.now - started_, most_silence * 2).s);
+            sides_[i].rate = std::max(sides_[i].rate * 0.95, done_.total(desk_.now, i) / seen.s);
         std::vector<double> shares;
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
             if (n + bad > 0) shares.push_back(bad / (n + bad));
         }
         median_share_ = median(shares, 0);
-        for (auto* s : listed_)
-            if (!s->ghosts.empty()) lay_ghosts(*s, desk_.now - penalty);
-        for (auto* s : members_) {
-            if (s->quarantined && desk_.now >= s->next_probe) {
-                s->next_probe = desk_.now + most_silence;
-                probe(*s);
-            }
+        for (auto* s : listed_) {
+            lay_ghosts(*s, desk_.now - penalty);
+            if (!s->member || !s->quarantined || desk_.now < s->next_probe) continue;
+            s->next_probe = desk_.now + most_silence;
+            probe(*s);
         }
         replace();
     }
@@ -269,21 +268,20 @@
     void heard(Server& s) {
         s.last_heard = last_heard_ = desk_.now;
         s.silent = false;
-        if (!desk_.set.probing) settle_trial(s);
     }
     void blame(Server& s, bool penalise = true) {
         s.record.add(desk_.now, failed);
         if (penalise) s.penalty_until = desk_.now + penalty;
     }
-    // Guards against stray errors idling sound servers: an error is held against a server whose share of failures, this
-    // one included, stands out from the fleet's median.
+    // Guards against stray errors idling sound servers: an error is held against a server whose share of
+    // failures, this one included, stands out from the fleet's median.
     bool stands_out(Server& s) const {
         const double bad = s.record.total(desk_.now, failed) + 1;
         return bad / (bad + s.record.total(desk_.now, answered)) > median_share_ + outstanding;
     }
 
-    // Members are taken along the sorted list from a place of this balancer's own; where crossing zones is priced, the
-    // own zone's servers come first.
+    // Members are taken along the sorted list from a place of this balancer's own; where crossing zones is
+    // priced, the own zone's servers come first.
     void arrange() {
         order_.clear();
         for (auto* s : listed_)
@@ -292,7 +290,7 @@
         const size_t n = order_.size(), own = desk_.set.me % desk_.set.balancers;
         std::rotate(order_.begin(), order_.begin() + own * n / desk_.set.balancers % n, order_.end());
         if (desk_.set.cross_price > 0)
-            std::stable_partition(order_.begin(), order_.end(), [&](auto* s) { return s->zone == desk_.set.zone; });
+            std::stable_partition(order_.begin(), order_.end(), [&](auto* s) { return at_home(*s); });
     }
     void refill() {
         const auto leaves = [](auto* s) {
@@ -326,37 +324,38 @@
         return age >= 1 ? 1 : desk_.set.start_capacity + (1 - desk_.set.start_capacity) * std::max(0.0, age);
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
-    // No cold server pushed over: in any window it gets no more of this balancer's calls than half of what the rule
-    // allows, taking what warm servers of like size get from this balancer as their capacity's own share.
+    // No cold server pushed over: in any window it gets half of what the rule allows at most, where what warm
+    // servers of like size get from this balancer stands for its share of their capacity.
     bool within_budget(Server& s, double warm) {
         if (warm >= 1) return true;
-        const double usual = sends_.total(desk_.now, 0) / interval.s * s.size / std::max(sides_[0].strength + sides_[1].strength, s.size);
+        const double all = std::max(sides_[0].strength + sides_[1].strength, s.size);
+        const double usual = sends_.total(desk_.now, 0) / interval.s * s.size / all;
         const double budget = desk_.set.tip_multiple * warm * usual * desk_.set.fall_window.s / 2;
         return s.sends.total(desk_.now, 0) + 1 <= std::max(1.0, budget);
     }
-    // By Little's law a call that joins those held at a server is answered after about their number over the server's rate
-    // of answers. It is kept off where that leaves too little of its SLO, and rate-limited early where all are so full. As
-    // many calls as the pool's floor are always let in, so that the rate can show itself: more, and many balancers would
-    // crowd a large fleet. Just after its start a balancer has no rate to go by: then one call a member.
-    // Worthier work may use more of its SLO.
+    // By Little's law a call that joins those held at a server is answered after about their number over the
+    // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
+    // early where all are so full. As many calls as the pool's floor are always let in, so that the rate can
+    // show itself: more, and many balancers would crowd a large fleet. Just after its start a balancer has no
+    // rate to go by: then one call a member. Worthier work may use more of its SLO.
     bool has_room(const Server& s) const {
         const auto& side = sides_[far(s)];
         return s.held() < std::max(1.0, side.room * strength(s) / std::max(side.strength, strength(s))) &&
                (desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room));
     }
-    // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone with more
-    // traffic than servers would turn calls away next to idle ones.
-    bool far(const Server& s) const { return s.zone != desk_.set.zone && price_of_crossing() > 1; }
-    double price_of_crossing() const { return desk_.set.cross_price * penalty_weight; }   // in calls in flight
+    // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
+    // with more traffic than servers would turn calls away next to idle ones.
+    bool far(const Server& s) const { return !at_home(s) && price_of_crossing() > 1; }
+    bool at_home(const Server& s) const { return s.zone == desk_.set.zone; }
+    double price_of_crossing() const { return desk_.set.cross_price * penalty_weight; }   // in calls
     double worthiness(const Call& c) const {
         double best = 0;
-        for (const auto& p : desk_.set.products) best = std::max(best, density(p));
-        return best > 0 ? 0.6 + 0.4 * density(*c.product) / best : 1;
+        for (const auto& p : desk_.set.products)
+            if (p.took > 0) best = std::max(best, p.value / p.took);
+        return best > 0 && c.product->took > 0 ? 0.6 + 0.4 * c.worth / c.product->took / best : 0.6;
     }
-    static double density(const Product& p) { return p.took > 0 ? p.value / p.took : 0; }
 
     Server* pick(const std::vector<Server*>& among, const Call& c, bool penalised, bool& full) {
-        const double mean = members_.empty() ? 0 : static_cast<double>(in_flight_) / members_.size();
         Server* best = nullptr;
         double least = std::numeric_limits<double>::infinity();
         double tied = 0;
@@ -369,7 +368,7 @@
                 full = true;
                 continue;
             }
-            const double cost = busyness(*s, c, mean, warm);
+            const double cost = busyness(*s, c, warm);
             if (cost > least) continue;
             if (cost < least) tied = 0;
             const double weight = s->size * warm;   // idle members tie whatever their size
@@ -379,20 +378,21 @@
         }
         return best;
     }
-    double busyness(const Server& s, const Call& c, double mean, double warm) const {
-        double own = static_cast<double>(s.held());
-        if (desk_.now < s.joined + penalty) own = std::max(own, mean);   // a newcomer is not flooded for being empty
-        double cost = own / (s.size * members_.size() / std::max(size_sum_, s.size) * warm);
+    double busyness(const Server& s, const Call& c, double warm) const {
+        const double members = std::max<size_t>(1, members_.size());
+        double own = s.held();
+        if (desk_.now < s.joined + penalty) own = std::max(own, in_flight_ / members);   // a newcomer
+        double cost = own / (s.size * members / std::max(size_sum_, s.size) * warm);
         // What must not run twice does not try out a server whose last word was silence.
         if (s.silent && !idempotent(c)) cost += penalty_weight;
-        if (s.zone != desk_.set.zone) cost += price_of_crossing();
+        if (!at_home(s)) cost += price_of_crossing();
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
         return cost;
     }
 
-    // A member quarantined again and again, unlike the rest, is replaced, one in six intervals at most; the replacement
-    // answers before the old one goes.
+    // A member quarantined again and again, unlike the rest, is replaced, one in six intervals at most; the
+    // replacement answers before the old one goes.
     void replace() {
         if (replacement_ || desk_.now < next_replacement_) return;
         std::vector<double> offences;
@@ -447,7 +447,6 @@
     virtual ~Stage() = default;
     virtual Step there(Call&) { return Step::pass; }
     virtual Step back(Call&, Shot&) { return Step::pass; }
-    virtual void later(Call&) {}   // a wake set for this call
 };
 
 class Chain {
@@ -464,16 +463,32 @@
             if (const Step step = (*it)->back(c, shot); step != Step::pass) return step;
         return Step::end;
     }
-    void later(Call& c) {
-        for (auto* stage : stages_) stage->later(c);
-    }
 
 private:
     std::vector<Stage*> stages_;
 };
 
-// Further shots, elsewhere, after a failure or a cancel. How many are made follows how many of the recent ones were
-// fulfilled in time, so in wide trouble they dry up instead of adding to it.
+// Fairness: what a tenant sends beyond its allowance is worth little, so it is turned away first.
+class Shares : public Stage {
+public:
+    explicit Shares(Desk& desk) : desk_(desk), taken_(desk.set.allowances.size(), Ring<1>(interval)) {}
+    Step there(Call& c) override {
+        c.worth = c.product->value;
+        if (c.tenant >= taken_.size()) return Step::pass;
+        auto& taken = taken_[c.tenant];
+        taken.add(desk_.now, 0);
+        const double allowed = desk_.set.allowances[c.tenant] / desk_.set.balancers * interval.s;
+        if (taken.total(desk_.now, 0) > allowed) c.worth *= desk_.set.surplus_value;
+        return Step::pass;
+    }
+
+private:
+    Desk& desk_;
+    std::vector<Ring<1>> taken_;
+};
+
+// Further shots, elsewhere, after a failure or a cancel. How many are made follows how many of the recent
+// ones were fulfilled in time, so in wide trouble they dry up instead of adding to it.
 class Further : public Stage {
 public:
     Further(Desk& desk, Chain& chain) : desk_(desk), chain_(chain), recent_(interval) {}
@@ -524,8 +539,8 @@
         fleet_.ended(shot);
         return Step::pass;
     }
-    void later(Call& c) override {
-        if (!c.shots.empty() && c.shots.back().out && desk_.now - c.shots.back().sent + hair >= fleet_.silence(c))
+    void later(Call& c) {   // woken for it
+        if (c.out() && desk_.now - c.shots.back().sent + hair >= fleet_.silence(c))
             fleet_.heard_nothing(c.shots.back());
     }
 
@@ -537,7 +552,9 @@
 class Decisions : public Balancer {
 public:
     Decisions(Time now, Settings settings, uint64_t seed, Actions& out)
-        : desk_{std::move(settings), out, Pcg(seed), now}, fleet_(desk_), further_(desk_, chain_), send_(desk_, fleet_), next_resize_(now + interval) {
+        : desk_{std::move(settings), out, Pcg(seed), now}, fleet_(desk_), shares_(desk_),
+          further_(desk_, chain_), send_(desk_, fleet_), next_resize_(now + interval) {
+        chain_.add(shares_);
         chain_.add(further_);
         chain_.add(send_);
         out.wake(tick, tick_cookie);
@@ -559,7 +576,7 @@
 
     void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) override {
         desk_.now = now;
-        if (product >= desk_.set.products.size()) throw std::runtime_error("an API call of an unknown product");
+        if (product >= desk_.set.products.size()) throw std::runtime_error("unknown product");
         auto [it, fresh] = calls_.try_emplace(id);
         if (!fresh) return;
         Call& c = it->second;
@@ -573,29 +590,23 @@
         forget_if_over(c);
     }
     void client_left(Time now, CallId id) override {
-        desk_.now = now;
-        const auto it = calls_.find(id);
-        if (it == calls_.end()) return;
-        over(it->second);
-        forget_if_over(it->second);
+        auto* c = find(now, id);
+        if (!c) return;
+        over(*c);
+        forget_if_over(*c);
     }
     void stream_began(Time now, CallId id, int shot) override {
-        desk_.now = now;
-        const auto it = calls_.find(id);
-        if (it != calls_.end()) it->second.streaming = shot + 1 == static_cast<int>(it->second.shots.size());
+        if (auto* c = find(now, id)) c->streaming = shot + 1 == static_cast<int>(c->shots.size());
     }
     void shot_ended(Time now, CallId id, int number, Outcome outcome, bool call_done) override {
-        desk_.now = now;
-        const auto it = calls_.find(id);
-        if (it == calls_.end()) return;
-        Call& c = it->second;
-        if (number < 0 || number >= static_cast<int>(c.shots.size()) || !c.shots[number].out) return;
-        Shot& shot = c.shots[number];
+        auto* c = find(now, id);
+        if (!c || !c->out() || number + 1 != static_cast<int>(c->shots.size())) return;
+        Shot& shot = c->shots.back();
         shot.out = false;
         shot.outcome = outcome;
-        if (call_done) c.ended = true;
-        if (chain_.back(c, shot) == Step::end && !c.ended) answer(c);
-        forget_if_over(c);
+        if (call_done) c->ended = true;
+        if (chain_.back(*c, shot) == Step::end && !c->ended) answer(*c);
+        forget_if_over(*c);
     }
     void probed(Time now, ServerId id, bool reply) override {
         desk_.now = now;
@@ -605,8 +616,7 @@
         desk_.now = now;
         if (cookie == list_cookie) return desk_.out.watch_list();
         if (cookie != tick_cookie) {
-            const auto it = calls_.find(cookie);
-            if (it != calls_.end()) chain_.later(it->second);
+            if (auto* c = find(now, cookie)) send_.later(*c);
             return;
         }
         fleet_.look();
@@ -618,10 +628,16 @@
     }
 
 private:
-    // The one final answer, as soon as the call is given up. Where a retry could no longer be of use, the client is told
-    // to stay away as long as it may be told.
+    Call* find(Time now, CallId id) {
+        desk_.now = now;
+        const auto it = calls_.find(id);
+        return it == calls_.end() ? nullptr : &it->second;
+    }
+    // The one final answer, as soon as the call is given up. Where a retry could no longer be of use, the
+    // client is told to stay away as long as it may be told.
     void answer(Call& c) {
-        if (may_rate_limit(c)) desk_.out.rate_limit(c.id, desk_.set.retry_after ? desk_.set.max_retry_after : Span{});
+        const Span stay_away = desk_.set.retry_after ? desk_.set.max_retry_after : Span{};
+        if (may_rate_limit(c)) desk_.out.rate_limit(c.id, stay_away);
         else desk_.out.error(c.id);
         over(c);
     }
@@ -636,6 +652,7 @@
     Desk desk_;
     Fleet fleet_;
     Chain chain_;
+    Shares shares_;
     Further further_;
     Send send_;
     Time next_resize_;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -1,5 +1,6 @@
-// The decisions' interface: events in, actions out. It knows no wire; an adapter or a proxy implements Actions and
-// calls the Balancer's events in the order in which they happened, each with the time at which it did.
+// The decisions' interface: events in, actions out. It knows no wire; an adapter or a proxy implements
+// Actions and calls the Balancer's events in the order in which they happened, each with the time at which it
+// did.
 #pragma once
 #include <cstdint>
 #include <memory>
@@ -31,7 +32,8 @@
     virtual ~Balancer() = default;
     // The list of servers comes as a start, its entries and an end; `whole` lists leave out what is gone.
     virtual void list_starts(Time now, bool whole, bool cached) = 0;
-    virtual void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size, Time launched) = 0;
+    virtual void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size,
+                       Time launched) = 0;
     virtual void list_ends() = 0;
     virtual void list_failed(Time now) = 0;
     virtual void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) = 0;
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -36,7 +36,9 @@
     bool called_off = false;
     Outcome outcome = Outcome::fulfilled;
     bool may_have_run() const {
-        return out || (outcome != Outcome::full && outcome != Outcome::connect_failed && outcome != Outcome::never_sent);
+        if (out) return true;
+        return outcome != Outcome::full && outcome != Outcome::connect_failed &&
+               outcome != Outcome::never_sent;
     }
 };
 
@@ -44,6 +46,7 @@
     uint64_t id = 0;
     Product* product = nullptr;
     uint32_t tenant = 0;
+    double worth = 0;          // its product's value, less where its tenant is over its allowance
     Time arrived, give_up;
     std::vector<Shot> shots;   // reserved up to the limit at arrival, so that pointers to shots hold
     bool ended = false;        // has had its final answer
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -22,6 +22,7 @@
     Span max_retry_after, ask_within, fall_window, warm_after;
     double start_capacity = 1, tip_multiple = 1;
     double cross_price = 0;
+    double surplus_value = 1;         // share of the value beyond a tenant's allowance
 };
 
 class SettingsReader {
@@ -30,7 +31,8 @@
         while (!pairs.empty()) {
             const auto end = pairs.find('\n');
             const auto line = pairs.substr(0, end);
-            if (const auto is = line.find('='); is != line.npos) found_.emplace(line.substr(0, is), line.substr(is + 1));
+            if (const auto is = line.find('='); is != line.npos)
+                found_.emplace(line.substr(0, is), line.substr(is + 1));
             pairs = end == pairs.npos ? std::string_view{} : pairs.substr(end + 1);
         }
     }
@@ -39,7 +41,8 @@
         Settings s;
         const int products = count("Products.count", number("Products.count"));
         if (products < 1) throw std::runtime_error("setting Products.count must be 1 or more");
-        for (int i = 0; i < products; ++i) s.products.push_back(product("Products." + std::to_string(i) + "."));
+        for (int i = 0; i < products; ++i)
+            s.products.push_back(product("Products." + std::to_string(i) + "."));
         const int tenants = count("Projects.count", number("Projects.count", 0));
         for (int i = 0; i < tenants; ++i)
             s.allowances.push_back(number("Projects." + std::to_string(i) + ".AllowancePerS", 0));
@@ -58,6 +61,7 @@
         s.start_capacity = positive("Guarantees.StartCapacity");
         s.tip_multiple = positive("Guarantees.TipMultiple");
         s.cross_price = number("Prices.CrossZone", 0);
+        s.surplus_value = number("SurplusBilledValue", 1);
         return s;
     }
 
@@ -69,7 +73,8 @@
         p.slo = {positive(at + "LatencySloS")};
         p.client_timeout = {positive(at + "ClientTimeoutS")};
         p.window = {number(at + "DedupWindowS", 0)};
-        p.repeat = static_cast<Repeat>(one_of(at + "Idempotency", {"read_like", "idempotency_key", "non_idempotent"}));
+        p.repeat = static_cast<Repeat>(
+            one_of(at + "Idempotency", {"read_like", "idempotency_key", "non_idempotent"}));
         if (p.repeat == Repeat::deduplicated)
             p.group = static_cast<Group>(one_of(at + "KeyScope", {"all", "zone", "cell"}));
         p.tardy_value = number(at + "TardyBilledValue", 0);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -10,11 +10,12 @@
 
 TEST_CASE("what follows an outcome, by product") {
     struct Case { uint32_t product; Outcome outcome; const char* next; };
-    const auto c = GENERATE(
-        Case{0, Outcome::errored, "send"}, Case{0, Outcome::full, "send"}, Case{0, Outcome::reset, "send"},
-        Case{0, Outcome::connect_failed, "send"}, Case{1, Outcome::errored, "send"}, Case{1, Outcome::reset, "send"},
-        Case{2, Outcome::full, "send"}, Case{2, Outcome::connect_failed, "send"}, Case{2, Outcome::errored, "error"},
-        Case{2, Outcome::reset, "error"}, Case{2, Outcome::timed_out, "error"}, Case{2, Outcome::cancelled, "error"});
+    const auto c = GENERATE(Case{0, Outcome::errored, "send"}, Case{0, Outcome::full, "send"},
+                            Case{0, Outcome::reset, "send"}, Case{0, Outcome::connect_failed, "send"},
+                            Case{1, Outcome::errored, "send"}, Case{1, Outcome::reset, "send"},
+                            Case{2, Outcome::full, "send"}, Case{2, Outcome::connect_failed, "send"},
+                            Case{2, Outcome::errored, "error"}, Case{2, Outcome::reset, "error"},
+                            Case{2, Outcome::timed_out, "error"}, Case{2, Outcome::cancelled, "error"});
     Play play;
     const auto first = play.call(1, c.product);
     play.end(1, c.outcome);
@@ -61,8 +62,8 @@
 
 TEST_CASE("a deduplicated call that may have run stays in its group and its window") {
     struct Case { const char* scope; double wait; bool again; };
-    const auto c = GENERATE(Case{"zone", 0.1, true}, Case{"cell", 0.1, true}, Case{"zone", 2.5, false}, Case{"all", 0.1, true},
-                            Case{"all", 2.5, false});
+    const auto c = GENERATE(Case{"zone", 0.1, true}, Case{"cell", 0.1, true}, Case{"zone", 2.5, false},
+                            Case{"all", 0.1, true}, Case{"all", 2.5, false});
     Play play("Products.1.KeyScope=" + std::string(c.scope) + "\nProducts.1.LatencySloS=4", 0);
     std::map<ServerId, int> group;
     for (ServerId id = 1; id <= 8; ++id) {
@@ -161,11 +162,12 @@
 
 TEST_CASE("what a failure is held against, and for how long") {
     struct Case { Outcome outcome; bool heard_meanwhile; int answers_before; bool penalised; };
-    const auto c = GENERATE(Case{Outcome::errored, false, 0, true}, Case{Outcome::full, false, 300, true},
-                            Case{Outcome::connect_failed, false, 300, true}, Case{Outcome::reset, false, 300, true},
-                            Case{Outcome::timed_out, false, 300, true},
-                            Case{Outcome::errored, false, 300, false},          // stray: its share is like the others'
-                            Case{Outcome::timed_out, true, 300, false});        // it answered others: a heavy call
+    const auto c =
+        GENERATE(Case{Outcome::errored, false, 0, true}, Case{Outcome::full, false, 300, true},
+                 Case{Outcome::connect_failed, false, 300, true}, Case{Outcome::reset, false, 300, true},
+                 Case{Outcome::timed_out, false, 300, true},
+                 Case{Outcome::errored, false, 300, false},    // stray: its share is like the others'
+                 Case{Outcome::timed_out, true, 300, false});  // it answered others: a heavy call
     Play play({}, 6);
     play.answer_some(c.answers_before, 0.01);
     const auto bad = play.call(1, 2);
@@ -316,6 +318,22 @@
     CHECK(sent == c.let_in);
 }
 
+TEST_CASE("in a crowd a tenant over its allowance is turned away first") {
+    int sent[2] = {};
+    for (const uint32_t tenant : {0u, 1u}) {
+        Play play("Balancers=1\nSurplusBilledValue=0.1\nProjects.count=2\nProjects.0.AllowancePerS=1\n"
+                  "Projects.1.AllowancePerS=1000", 4);
+        for (CallId id = 1; id <= 200; ++id) {
+            play.call(id, 0, 4, tenant);
+            play.pass(0.02);
+            play.end(id, Outcome::fulfilled);
+        }
+        for (CallId id = 1000; id < 1100; ++id) sent[tenant] += play.call(id, 0, 4, tenant) != 0;
+    }
+    CHECK(sent[0] < sent[1]);
+    CHECK(sent[0] > 0);
+}
+
 TEST_CASE("further shots dry up when they do not help") {
     struct Case { bool help; int least, most; };
     const auto c = GENERATE(Case{true, 60, 60}, Case{false, 0, 12});
@@ -327,7 +345,8 @@
         play.end(id, Outcome::errored);
         const int sent = play.count("send", id);
         further += id > 100 && sent > 1;
-        for (int shot = 1; shot < sent; ++shot) play.end(id, c.help ? Outcome::fulfilled : Outcome::timed_out, shot);
+        for (int shot = 1; shot < sent; ++shot)
+            play.end(id, c.help ? Outcome::fulfilled : Outcome::timed_out, shot);
         for (int i = 0; i < 3; ++i) play.answer_some(1, 0.02);
     }
     CHECK(further >= c.least);
@@ -394,7 +413,8 @@
             play.pass(0.07);
             if (id > 5) play.end(id - 5, id % 7 ? Outcome::fulfilled : Outcome::full);
         }
-        for (const auto& d : play.done) log.push_back(d.what + std::to_string(d.call) + "/" + std::to_string(d.server));
+        for (const auto& d : play.done)
+            log.push_back(d.what + std::to_string(d.call) + "/" + std::to_string(d.server));
     }
     CHECK(seen[0] == seen[1]);
 }
--- a/tests/play.hpp
+++ b/tests/play.hpp
@@ -8,19 +8,22 @@
 
 namespace myrtleroute {
 
-// Products: 0 idempotent, 1 deduplicated, 2 non-idempotent; SLO 1 s, client timeout 4 s. Pairs given in `more` win, so
-// that a case gives just what differs.
+// Products: 0 idempotent, 1 deduplicated, 2 non-idempotent; SLO 1 s, client timeout 4 s. Pairs given in
+// `more` win, so that a case gives just what differs.
 inline std::string pairs(const std::string& more = {}) {
     std::string s = more + "\n";
     const char* kinds[] = {"read_like", "idempotency_key", "non_idempotent"};
     s += "Products.count=3\n";
     for (int i = 0; i < 3; ++i) {
         const auto at = "Products." + std::to_string(i) + ".";
-        s += at + "Name=p\n" + at + "BilledValue=1\n" + at + "LatencySloS=1\n" + at + "ClientTimeoutS=4\n" + at +
-             "DedupWindowS=2\n" + at + "Idempotency=" + kinds[i] + "\n" + at + "KeyScope=all\n";
+        s += at + "Name=p\n" + at + "BilledValue=1\n" + at + "LatencySloS=1\n" + at + "ClientTimeoutS=4\n" +
+             at + "DedupWindowS=2\n" + at + "Idempotency=" + kinds[i] + "\n" + at + "KeyScope=all\n";
     }
-    return s + "Balancers=2\nMe=0\nDiscovery=pushed\nLimits.Probing=true\nLimits.Cancel=true\nLimits.RetryAfter=true\nLimits.MaxShots=4\nLimits.MaxRetryAfterS=2\nGuarantees.AskWithinS=10\n"
-               "Guarantees.FallS=1\nGuarantees.WarmAfterS=10\nGuarantees.StartCapacity=0.2\nGuarantees.TipMultiple=3\n";
+    return s +
+           "Balancers=2\nMe=0\nDiscovery=pushed\nLimits.Probing=true\nLimits.Cancel=true\n"
+           "Limits.RetryAfter=true\nLimits.MaxShots=4\nLimits.MaxRetryAfterS=2\nGuarantees.AskWithinS=10\n"
+           "Guarantees.FallS=1\nGuarantees.WarmAfterS=10\nGuarantees.StartCapacity=0.2\nGuarantees."
+           "TipMultiple=3\n";
 }
 
 struct Done {
@@ -53,7 +56,8 @@
         for (;;) {
             size_t next = wakes.size();
             for (size_t i = 0; i < wakes.size(); ++i)
-                if (wakes[i].first <= until && (next == wakes.size() || wakes[i].first < wakes[next].first)) next = i;
+                if (wakes[i].first <= until && (next == wakes.size() || wakes[i].first < wakes[next].first))
+                    next = i;
             if (next == wakes.size()) break;
             const auto wake = wakes[next];
             wakes.erase(wakes.begin() + static_cast<long>(next));
@@ -63,9 +67,9 @@
         now = until;
     }
     // Takes an API call; answers the server of its first shot, 0 if it got none.
-    ServerId call(CallId id, uint32_t product = 0, double patience = 4) {
+    ServerId call(CallId id, uint32_t product = 0, double patience = 4, uint32_t tenant = 0) {
         const size_t before = done.size();
-        balancer->call_arrived(now, id, product, 0, Span{patience});
+        balancer->call_arrived(now, id, product, tenant, Span{patience});
         for (size_t i = before; i < done.size(); ++i)
             if (done[i].what == "send") return done[i].server;
         return 0;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -16,7 +16,9 @@
     (s.append(reinterpret_cast<const char*>(&f), sizeof f), ...);
     return s;
 }
-std::string record(uint16_t code, const std::string& body) { return fields(code, uint32_t(body.size())) + body; }
+std::string record(uint16_t code, const std::string& body) {
+    return fields(code, uint32_t(body.size())) + body;
+}
 std::string frame(const std::string& records, double clock = 5) {
     return fields(uint32_t(12 + records.size()), clock) + records;
 }
@@ -27,15 +29,19 @@
 std::string sheet(uint8_t number = 0) {
     std::string hosts;
     for (char i = 1; i <= 4; ++i)
-        hosts += std::string("\x0a\x01\x01", 3) + i + fields(uint16_t{80}, uint16_t{0}, uint16_t{0}, uint16_t{0}, uint8_t{1}, 1.0f, 0.0);
+        hosts += std::string("\x0a\x01\x01", 3) + i +
+                 fields(uint16_t{80}, uint16_t{0}, uint16_t{0}, uint16_t{0}, uint8_t{1}, 1.0f, 0.0);
     return record(1020, fields(number, uint32_t{4}) + hosts);
 }
-std::string roster(uint8_t kind = 2, uint8_t number = 0) { return record(1010, fields(kind, uint64_t{1}, number)); }
+std::string roster(uint8_t kind = 2, uint8_t number = 0) {
+    return record(1010, fields(kind, uint64_t{1}, number));
+}
 std::string accept(uint8_t product = 0) {
     return record(1080, fields(uint64_t{77}, uint64_t{0}, uint8_t{0}, product, uint16_t{0}, 2.0, 0.0));
 }
 std::string response(uint16_t verdict) {
-    return record(1090, fields(uint64_t{77}, verdict, uint8_t{1}, uint16_t{0}) + std::string(6, '\1') + fields(0.1, uint8_t{0}));
+    return record(1090, fields(uint64_t{77}, verdict, uint8_t{1}, uint16_t{0}) + std::string(6, '\1') +
+                            fields(0.1, uint8_t{0}));
 }
 std::string run(const std::string& input) {
     std::istringstream in(input);
@@ -53,11 +59,13 @@
         {"nothing", "", 0, false},
         {"an empty batch", frame(""), 1, false},
         {"a call", frame(start) + frame(select() + accept()), 2, true},
-        {"an unknown record is skipped", frame(start + record(9, "abc")) + frame(select() + accept()), 2, true},
+        {"an unknown record is skipped", frame(start + record(9, "abc")) + frame(select() + accept()), 2,
+         true},
         {"an outcome of no known call", frame(start + response(100)), 1, false},
         {"an unwanted timer", frame(start + record(1040, fields(uint64_t{5}))), 1, false},
         {"a client of no known call", frame(start + record(1100, fields(uint64_t{5}))), 1, false},
-        {"longer settings", frame(select() + sheet() + attach(pairs("Some.Later.Key=7")) + roster() + accept()), 1, true},
+        {"longer settings",
+         frame(select() + sheet() + attach(pairs("Some.Later.Key=7")) + roster() + accept()), 1, true},
         {"a restart", frame(start + record(1000, "") + select() + attach() + roster() + accept()), 1, true},
     }));
     INFO(c.name);
@@ -98,7 +106,8 @@
         {"Products.count is missing", frame(select() + attach(""))},
         {"Balancers is no sound number", frame(select() + attach(pairs("Balancers=many")))},
         {"Limits.Cancel has an unknown value", frame(select() + attach(pairs("Limits.Cancel=perhaps")))},
-        {"Products.0.LatencySloS must be above 0", frame(select() + attach(pairs("Products.0.LatencySloS=0")))},
+        {"Products.0.LatencySloS must be above 0",
+         frame(select() + attach(pairs("Products.0.LatencySloS=0")))},
     }));
     INFO(c.says);
     CHECK_THROWS_WITH(run(c.input), Catch::Contains(c.says) && !Catch::Contains("\n"));
