--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -179,15 +179,11 @@
             case Outcome::full: heard(s); return blame(s);
             case Outcome::reset: return blame(s);
             case Outcome::connect_failed:
-                // Down, perhaps restarting: until the list says more, it counts as cold from now on.
-                s.launched = std::max(s.launched, desk_.now);
                 lay_ghosts(s, desk_.now);
                 return blame(s);
             case Outcome::timed_out:
                 // A server that answered others meanwhile was not silent: the call itself may be heavy.
-                if (s.last_heard >= shot.sent) return blame(s, stands_out(s));
-                s.silent = true;
-                return blame(s);
+                return blame(s, s.last_heard < shot.sent || stands_out(s));
             case Outcome::cancelled: case Outcome::never_sent: return;
         }
     }
@@ -205,7 +201,6 @@
         Server& s = *shot.server;
         if (s.last_heard >= shot.sent || last_heard_ <= shot.sent || s.quarantined) return;
         if (desk_.set.probing) return probe(s);
-        s.silent = true;
         blame(s);
     }
     void probe(Server& s) {
@@ -217,7 +212,7 @@
         s.probing = false;
         if (reply) {
             if (s.quarantined) desk_.out.log("probe answered, back in the pool:", s.id);
-            s.quarantined = s.silent = false;
+            s.quarantined = false;
             s.last_heard = desk_.now;
             settle_trial(s);
             return;
@@ -265,10 +260,7 @@
         std::nth_element(v.begin(), v.begin() + v.size() / 2, v.end());
         return v[v.size() / 2];
     }
-    void heard(Server& s) {
-        s.last_heard = last_heard_ = desk_.now;
-        s.silent = false;
-    }
+    void heard(Server& s) { s.last_heard = last_heard_ = desk_.now; }
     void blame(Server& s, bool penalise = true) {
         s.record.add(desk_.now, failed);
         if (penalise) s.penalty_until = desk_.now + penalty;
@@ -383,8 +375,6 @@
         double own = s.held();
         if (desk_.now < s.joined + penalty) own = std::max(own, in_flight_ / members);   // a newcomer
         double cost = own / (s.size * members / std::max(size_sum_, s.size) * warm);
-        // What must not run twice does not try out a server whose last word was silence.
-        if (s.silent && !idempotent(c)) cost += penalty_weight;
         if (!at_home(s)) cost += price_of_crossing();
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
