Let pools span the zones where crossing costs less than a call in flight

The pool took the own zone's servers first, and with few calls in flight it never reached beyond them.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -273,8 +273,9 @@
         return bad / (bad + s.record.total(desk_.now, answered)) > median_share_ + outstanding;
     }
 
-    // Members are taken along the sorted list from a place of this balancer's own; where crossing zones is
-    // priced, the own zone's servers come first.
+    // Members are taken along the sorted list from a place of this balancer's own; where crossing costs more
+    // than a call in flight, the own zone's servers come first. Where it costs less they don't: guards against
+    // a zone that jams while the next is idle, unseen by balancers whose small pools would all lie in it.
     void arrange() {
         order_.clear();
         for (auto* s : listed_)
@@ -282,7 +283,7 @@
         if (order_.empty()) return;
         const size_t n = order_.size(), own = desk_.set.me % desk_.set.balancers;
         std::rotate(order_.begin(), order_.begin() + own * n / desk_.set.balancers % n, order_.end());
-        if (desk_.set.cross_price > 0)
+        if (price_of_crossing() > 1)
             std::stable_partition(order_.begin(), order_.end(), [&](auto* s) { return at_home(*s); });
     }
     void refill() {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -300,6 +300,16 @@
     CHECK(crossed == c.crosses);
 }
 
+TEST_CASE("a small pool lies in the own zone only where crossing costs more than a call") {
+    struct Case { const char* price; bool crosses; };
+    const auto c = GENERATE(Case{"0.03", true}, Case{"0.2", false});
+    Play play("Balancers=20\nPrices.CrossZone=" + std::string(c.price), 0);
+    for (ServerId id = 1; id <= 40; ++id) play.list({{id, State::ready, long_ago, uint16_t(id % 2)}});
+    bool crossed = false;
+    for (CallId id = 1; id <= 10; ++id) crossed |= play.call(id) % 2 == 1;
+    CHECK(crossed == c.crosses);
+}
+
 TEST_CASE("before any rate can show itself a fresh balancer lets in one call a member, later the floor") {
     struct Case { double after; int let_in; };
     const auto c = GENERATE(Case{0.1, 10}, Case{1.1, 5});
