--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -304,7 +304,9 @@
     struct Case { const char* price; bool crosses; };
     const auto c = GENERATE(Case{"0.03", true}, Case{"0.2", false});
     Play play("Balancers=20\nPrices.CrossZone=" + std::string(c.price), 0);
-    for (ServerId id = 1; id <= 40; ++id) play.list({{id, State::ready, long_ago, uint16_t(id % 2)}});
+    std::vector<Play::Listed> entries;
+    for (ServerId id = 1; id <= 40; ++id) entries.push_back({id, State::ready, long_ago, uint16_t(id % 2)});
+    play.list(entries);
     bool crossed = false;
     for (CallId id = 1; id <= 10; ++id) crossed |= play.call(id) % 2 == 1;
     CHECK(crossed == c.crosses);
