Count what a member's shots took beyond the mean as others' calls in flight there; cover zones evenly

Cause: with a few calls a second a balancer has nothing in flight nearly everywhere, so all members tie and crowded or slow servers draw as much as idle ones. Their answers show it: time beyond the fleet's mean, in calls, now joins the own calls in flight.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -167,6 +167,10 @@
         if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back(shot.sent);
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
+        if (p.took > 0 && (given_up || shot.outcome == Outcome::fulfilled)) {
+            s.record.add(desk_.now, spent, took);
+            s.record.add(desk_.now, expected, p.took / relative_size(s));
+        }
         switch (shot.outcome) {
             case Outcome::fulfilled:
                 heard(s);
@@ -274,17 +278,23 @@
     }
 
     // Members are taken along the sorted list from a place of this balancer's own; where crossing costs more
-    // than a call in flight, the own zone's servers come first. Where it costs less they don't: guards against
-    // a zone that jams while the next is idle, unseen by balancers whose small pools would all lie in it.
+    // than a call in flight, the own zone's come first, turned by themselves so that pools cover them alike.
+    // Where it costs less they don't: guards against a zone that jams while the next is idle, unseen by
+    // balancers whose small pools would all lie in it.
     void arrange() {
         order_.clear();
         for (auto* s : listed_)
             if (s->state == State::ready) order_.push_back(s);
         if (order_.empty()) return;
-        const size_t n = order_.size(), own = desk_.set.me % desk_.set.balancers;
-        std::rotate(order_.begin(), order_.begin() + own * n / desk_.set.balancers % n, order_.end());
+        const auto turn = [&](auto from, auto to) {
+            const size_t n = to - from, own = desk_.set.me % desk_.set.balancers;
+            if (n) std::rotate(from, from + own * n / desk_.set.balancers, to);
+        };
+        auto away = order_.begin();
         if (price_of_crossing() > 1)
-            std::stable_partition(order_.begin(), order_.end(), [&](auto* s) { return at_home(*s); });
+            away = std::stable_partition(order_.begin(), order_.end(), [&](auto* s) { return at_home(*s); });
+        turn(order_.begin(), away);
+        turn(away, order_.end());
     }
     void refill() {
         const auto leaves = [](auto* s) {
@@ -317,6 +327,9 @@
         const double age = (desk_.now - s.launched) / desk_.set.warm_after;
         return age >= 1 ? 1 : desk_.set.start_capacity + (1 - desk_.set.start_capacity) * std::max(0.0, age);
     }
+    double relative_size(const Server& s) const {
+        return s.size * std::max<size_t>(1, members_.size()) / std::max(size_sum_, s.size);
+    }
     double strength(const Server& s) const { return s.size * warm_share(s); }
     // No cold server pushed over, by hundreds of balancers that each send a call now and then: with each call
     // placed it earns no more of a turn than its warm share bears in the pool, so that all together send it
@@ -374,11 +387,19 @@
         }
         return best;
     }
-    double busyness(const Server& s, const Call& c, double warm) const {
+    // Guards against crowding and slowness that few own calls in flight don't show: what a server's shots
+    // lately took beyond the mean and a quarter counts as calls of others in flight there. Two more shots of
+    // the mean are added to them, so that one slow answer tells little; members near the mean still tie.
+    double hidden(Server& s, const Call& c) const {
+        const double usual = s.record.total(desk_.now, expected), took = s.record.total(desk_.now, spent);
+        return usual > 0 ? std::max(0.0, (took - usual) / (usual + 2 * c.product->took) - 0.25) : 0;
+    }
+    double busyness(Server& s, const Call& c, double warm) const {
         const double members = std::max<size_t>(1, members_.size());
         double own = s.held();
-        if (warm >= 1 && desk_.now < s.joined + penalty) own = std::max(own, in_flight_ / members);   // a newcomer
-        double cost = own / (s.size * members / std::max(size_sum_, s.size) * warm);
+        if (warm >= 1 && desk_.now < s.joined + penalty) own = std::max(own, in_flight_ / members);   // newcomer
+        double cost = own / (relative_size(s) * warm);
+        cost += hidden(s, c);
         if (!at_home(s)) cost += price_of_crossing();
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -54,7 +54,7 @@
     bool out() const { return !shots.empty() && shots.back().out; }   // there is never more than one
 };
 
-enum Tally { answered, failed, tallies };
+enum Tally { answered, failed, spent, expected, tallies };
 
 struct Server {
     uint64_t id = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -154,6 +154,34 @@
     CHECK(orders.size() > 1);
 }
 
+TEST_CASE("a member whose calls took long lately gets fewer, also while all are idle") {
+    struct Case { double slow; int least, most; };
+    const auto c = GENERATE(Case{0.05, 30, 70}, Case{0.2, 1, 20});
+    Play play("Balancers=1", 6);
+    int met = 0;
+    for (CallId id = 1; id <= 300; ++id) {
+        const auto server = play.call(id);
+        met += server == 1;
+        play.pass(server == 1 ? c.slow : 0.05);
+        play.end(id, Outcome::fulfilled);
+    }
+    CHECK(met >= c.least);
+    CHECK(met <= c.most);
+}
+
+TEST_CASE("pools cover the servers of a zone alike, however its ids lie") {
+    std::map<ServerId, int> pools;
+    for (int me = 0; me < 32; ++me) {
+        Play play("Balancers=32\nPrices.CrossZone=0.2\nMe=" + std::to_string(me), 0);
+        std::vector<Play::Listed> entries;
+        for (ServerId id = 1; id <= 32; ++id)          // ids 17 to 32 lie in the own zone
+            entries.push_back({id, State::ready, long_ago, uint16_t(id <= 16)});
+        play.list(entries);
+        for (CallId id = 1; id <= 10; ++id) ++pools[play.call(id)];
+    }
+    for (ServerId id = 17; id <= 32; ++id) CHECK(pools[id] == 20);
+}
+
 TEST_CASE("what a failure is held against, and for how long") {
     struct Case { Outcome outcome; bool heard_meanwhile; int answers_before; bool penalised; };
     const auto c =
