Rate-limit also while recent shots took longer on average than may be waited

Cause: a balancer with a few calls a second is never above the floor of 4 to 10 calls in flight, so queues made by hundreds of others go unseen and calls are sent in to be late. The mean time of the last 2 s (capped at the tightest SLO, two instant shots added) now closes a side too.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -63,7 +63,7 @@
 
 class Fleet {
 public:
-    explicit Fleet(Desk& desk) : desk_(desk), done_(most_silence * 2), started_(desk.now) {
+    explicit Fleet(Desk& desk) : desk_(desk), paces_(most_silence * 2), done_(most_silence * 2), started_(desk.now) {
         for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
     }
     Server* find(ServerId id) {
@@ -131,8 +131,12 @@
     // members are for the time when no other is left; and when no member may take it, any listed server beats
     // no answer.
     Server* choose(const Call& c) {
-        const double wait = (least_slo_ - (desk_.now - c.arrived)).s * most_wait * worthiness(c);
-        for (auto& side : sides_) side = {side.rate, side.rate * wait};
+        const double part = most_wait * worthiness(c), wait = (least_slo_ - (desk_.now - c.arrived)).s * part;
+        for (const int i : {0, 1}) {
+            auto& side = sides_[i];
+            side = {side.rate, side.rate * wait};
+            side.slow = paces_.total(desk_.now, 2 + i) / (paces_.total(desk_.now, i) + 2) > least_slo_.s * part;
+        }
         for (auto* s : members_) {
             auto& side = sides_[far(*s)];
             side.floor += 1.0 * floor() / members_.size();
@@ -167,6 +171,10 @@
         if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back(shot.sent);
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
+        if (given_up || shot.outcome == Outcome::fulfilled) {
+            paces_.add(desk_.now, far(s));
+            paces_.add(desk_.now, 2 + far(s), std::min(took, least_slo_.s));   // else one that hangs says all
+        }
         if (p.took > 0 && (given_up || shot.outcome == Outcome::fulfilled)) {
             s.record.add(desk_.now, spent, took);
             s.record.add(desk_.now, expected, p.took / relative_size(s));
@@ -345,10 +353,12 @@
     // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
     // early where all are so full. As many calls as the pool's floor are always let in, so that the rate can
     // show itself: more, and many balancers would crowd a large fleet. Just after its start a balancer has no
-    // rate to go by: then one call a member. Worthier work may use more of its SLO.
+    // rate to go by: then one call a member. Worthier work may use more of its SLO. With a few calls a second
+    // the floor hides queues made by other balancers, so nothing is let in either while the shots of the last
+    // 2 s, two instant ones and none over the SLO counted, took longer on average.
     bool has_room(const Server& s) const {
         const auto& side = sides_[far(s)];
-        return s.held() < std::max(1.0, side.room * strength(s) / std::max(side.strength, strength(s))) &&
+        return !side.slow && s.held() < std::max(1.0, side.room * strength(s) / std::max(side.strength, strength(s))) &&
                (desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room));
     }
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
@@ -439,6 +449,7 @@
     size_t target_ = first_size;
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0;
+    Ring<4> paces_;     // shots and the time they took, for each side
     Ring<2> done_;      // answers from the own zone and from the others
     double median_share_ = 0;
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
@@ -447,6 +458,7 @@
         double rate = 0;       // answers a second, at best lately
         double room = 0;       // calls that it may hold, for the call being placed
         double floor = 0, held = 0, strength = 0;
+        bool slow = false;
     } sides_[2];
     Time last_heard_ = long_ago, next_replacement_ = long_ago, next_growth_ = long_ago;
     Server* replacement_ = nullptr;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -314,6 +314,21 @@
     CHECK(play.call(200) != 0);
 }
 
+TEST_CASE("few calls at a time are rate-limited too while answers come late, and let in after a while") {
+    struct Case { double took; bool all; };
+    const auto c = GENERATE(Case{0.9, false}, Case{0.5, true});
+    Play play("Balancers=50", 100);
+    int sent = 0;
+    for (CallId id = 1; id <= 60; id += 3) {           // three at a time; the floor is six
+        for (CallId i = id; i < id + 3; ++i) sent += play.call(i) != 0;
+        play.pass(c.took);
+        for (CallId i = id; i < id + 3; ++i) play.end(i, Outcome::fulfilled);
+    }
+    CHECK((sent == 60) == c.all);
+    play.pass(3);
+    CHECK(play.call(100) != 0);
+}
+
 TEST_CASE("where crossing is priced calls stay in their zone until it is full, then the pool reaches out") {
     struct Case { int in_flight; bool crosses; };
     const auto c = GENERATE(Case{2, false}, Case{30, true});
