--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,14 +1,15 @@
 // All decisions of myrtleroute: where each API call's shots go while things fail. The adapter (later the
 // proxy) calls the events of Balancer and carries out what comes back through Actions; both stand in
 // logic.hpp. The mechanism is that of docs/design.md. Below: Desk (what all share), Fleet (list, pool,
-// choice, health), the stages of the chain from the API call's side to the servers' side, and at the end the
-// Balancer, which feeds events to them.
+// choice, health), the stages of the chain (chain.hpp) from the API call's side to the servers' side, and at
+// the end the Balancer, which feeds events to them.
 #include "logic.hpp"
 
 #include <algorithm>
 #include <limits>
 #include <unordered_map>
 
+#include "chain.hpp"
 #include "random.hpp"
 
 namespace myrtleroute {
@@ -63,7 +64,7 @@
 
 class Fleet {
 public:
-    explicit Fleet(Desk& desk) : desk_(desk), paces_(most_silence * 2), done_(most_silence * 2), started_(desk.now) {
+    explicit Fleet(Desk& desk) : desk_(desk), started_(desk.now) {
         for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
     }
     Server* find(ServerId id) {
@@ -131,11 +132,12 @@
     // members are for the time when no other is left; and when no member may take it, any listed server beats
     // no answer.
     Server* choose(const Call& c) {
-        const double part = most_wait * worthiness(c), wait = (least_slo_ - (desk_.now - c.arrived)).s * part;
-        for (const int i : {0, 1}) {
-            auto& side = sides_[i];
-            side = {side.rate, side.rate * wait};
-            side.slow = paces_.total(desk_.now, 2 + i) / (paces_.total(desk_.now, i) + 2) > least_slo_.s * part;
+        const double part = most_wait * worthiness(c), all = least_slo_.s * part;
+        const double wait = all - (desk_.now - c.arrived).s * part;
+        for (auto& side : sides_) {
+            side.room = side.rate * wait;
+            side.slow = side.lately.total(desk_.now, time) / (side.lately.total(desk_.now, shots) + 2) > all;
+            side.floor = side.held = side.strength = 0;
         }
         for (auto* s : members_) {
             auto& side = sides_[far(*s)];
@@ -147,13 +149,7 @@
         bool full = false;
         for (const bool penalised : {false, true})
             for (const auto* among : {&members_, &order_})
-                if (auto* best = pick(*among, c, penalised, full); best || full) {
-                    if (!best && price_of_crossing() > 1 && desk_.now >= next_growth_) {
-                        next_growth_ = desk_.now + most_silence;   // slowly: spread thin it learns less
-                        grow();
-                    }
-                    return best;
-                }
+                if (auto* best = pick(*among, c, penalised, full); best || full) return best;
         return nullptr;
     }
 
@@ -165,6 +161,7 @@
     void ended(Shot& shot) {
         Server& s = *shot.server;
         Product& p = *shot.call->product;
+        Side& side = sides_[far(s)];
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
         // A shot given up mostly still runs or waits there, so it counts until one sent later is answered.
         const bool given_up = shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled;
@@ -172,8 +169,8 @@
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
         if (given_up || shot.outcome == Outcome::fulfilled) {
-            paces_.add(desk_.now, far(s));
-            paces_.add(desk_.now, 2 + far(s), std::min(took, least_slo_.s));   // else one that hangs says all
+            side.lately.add(desk_.now, shots);
+            side.lately.add(desk_.now, time, std::min(took, least_slo_.s));   // else one that hangs says all
         }
         if (p.took > 0 && (given_up || shot.outcome == Outcome::fulfilled)) {
             s.record.add(desk_.now, spent, took);
@@ -184,7 +181,7 @@
                 heard(s);
                 s.answered_sent = std::max(s.answered_sent, shot.sent);
                 lay_ghosts(s, shot.sent);
-                done_.add(desk_.now, far(s));
+                side.lately.add(desk_.now, answers);
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
                 return;
@@ -250,8 +247,8 @@
     // Every tick: take rates and the median, look after the quarantined, replace repeat offenders.
     void look() {
         const Span seen = std::min(desk_.now - started_, most_silence * 2);
-        for (const int i : {0, 1})
-            sides_[i].rate = std::max(sides_[i].rate * 0.95, done_.total(desk_.now, i) / seen.s);
+        for (auto& side : sides_)
+            side.rate = std::max(side.rate * 0.95, side.lately.total(desk_.now, answers) / seen.s);
         std::vector<double> shares;
         for (auto* s : members_) {
             const double n = s->record.total(desk_.now, answered), bad = s->record.total(desk_.now, failed);
@@ -285,24 +282,23 @@
         return bad / (bad + s.record.total(desk_.now, answered)) > median_share_ + outstanding;
     }
 
-    // Members are taken along the sorted list from a place of this balancer's own; where crossing costs more
-    // than a call in flight, the own zone's come first, turned by themselves so that pools cover them alike.
-    // Where it costs less they don't: guards against a zone that jams while the next is idle, unseen by
-    // balancers whose small pools would all lie in it.
+    // Members are taken along the sorted list from a place of this balancer's own. Where crossing costs more
+    // than a call in flight, two of three are of the own zone, as long as it has any; each part is turned by
+    // itself so that pools cover it alike. Guards against a zone that jams while the next is idle, out of
+    // reach of balancers whose small pools all lie in it.
     void arrange() {
-        order_.clear();
+        std::vector<Server*> parts[2];
         for (auto* s : listed_)
-            if (s->state == State::ready) order_.push_back(s);
-        if (order_.empty()) return;
-        const auto turn = [&](auto from, auto to) {
-            const size_t n = to - from, own = desk_.set.me % desk_.set.balancers;
-            if (n) std::rotate(from, from + own * n / desk_.set.balancers, to);
-        };
-        auto away = order_.begin();
-        if (price_of_crossing() > 1)
-            away = std::stable_partition(order_.begin(), order_.end(), [&](auto* s) { return at_home(*s); });
-        turn(order_.begin(), away);
-        turn(away, order_.end());
+            if (s->state == State::ready) parts[far(*s)].push_back(s);
+        for (auto& part : parts) {
+            const size_t from = desk_.set.me % desk_.set.balancers * part.size() / desk_.set.balancers;
+            std::rotate(part.begin(), part.begin() + from, part.end());
+        }
+        order_.clear();
+        for (size_t home = 0, other = 0; home + other < parts[0].size() + parts[1].size();) {
+            const bool cross = home == parts[0].size() || (order_.size() % 3 == 2 && other < parts[1].size());
+            order_.push_back(cross ? parts[1][other++] : parts[0][home++]);
+        }
     }
     void refill() {
         const auto leaves = [](auto* s) {
@@ -339,10 +335,10 @@
         return s.size * std::max<size_t>(1, members_.size()) / std::max(size_sum_, s.size);
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
-    // No cold server pushed over, by hundreds of balancers that each send a call now and then: with each call
+    // No cold server pushed over by hundreds of balancers that each send a call now and then: with each call
     // placed it earns no more of a turn than its warm share bears in the pool, so that all together send it
-    // what warm ones of its size get, and half of what the rule allows at most. A turn not taken lapses: turns
-    // saved up would be taken all at once in a burst.
+    // what warm ones of its size get, and half of what the rule allows at most. A turn not taken lapses:
+    // turns saved up would be taken all at once in a burst.
     void earn(Server& s) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
@@ -354,12 +350,13 @@
     // early where all are so full. As many calls as the pool's floor are always let in, so that the rate can
     // show itself: more, and many balancers would crowd a large fleet. Just after its start a balancer has no
     // rate to go by: then one call a member. Worthier work may use more of its SLO. With a few calls a second
-    // the floor hides queues made by other balancers, so nothing is let in either while the shots of the last
-    // 2 s, two instant ones and none over the SLO counted, took longer on average.
+    // the floor hides queues made by other balancers, so nothing is let in either while the shots of the
+    // last 2 s, two instant ones and none over the SLO counted, took longer on average.
     bool has_room(const Server& s) const {
         const auto& side = sides_[far(s)];
-        return !side.slow && s.held() < std::max(1.0, side.room * strength(s) / std::max(side.strength, strength(s))) &&
-               (desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room));
+        const double own = side.room * strength(s) / std::max(side.strength, strength(s));
+        if (side.slow || s.held() >= std::max(1.0, own)) return false;
+        return desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room);
     }
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
     // with more traffic than servers would turn calls away next to idle ones.
@@ -407,7 +404,8 @@
     double busyness(Server& s, const Call& c, double warm) const {
         const double members = std::max<size_t>(1, members_.size());
         double own = s.held();
-        if (warm >= 1 && desk_.now < s.joined + penalty) own = std::max(own, in_flight_ / members);   // newcomer
+        const bool newcomer = warm >= 1 && desk_.now < s.joined + penalty;
+        if (newcomer) own = std::max(own, in_flight_ / members);
         double cost = own / (relative_size(s) * warm);
         cost += hidden(s, c);
         if (!at_home(s)) cost += price_of_crossing();
@@ -449,51 +447,22 @@
     size_t target_ = first_size;
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0;
-    Ring<4> paces_;     // shots and the time they took, for each side
-    Ring<2> done_;      // answers from the own zone and from the others
     double median_share_ = 0;
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
-    struct Side {
+    enum { answers, shots, time, lanes };
+    struct Side {              // the own zone, and the others where they are limited apart
+        Ring<lanes> lately{most_silence * 2};
         double rate = 0;       // answers a second, at best lately
         double room = 0;       // calls that it may hold, for the call being placed
         double floor = 0, held = 0, strength = 0;
         bool slow = false;
     } sides_[2];
-    Time last_heard_ = long_ago, next_replacement_ = long_ago, next_growth_ = long_ago;
+    Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server* replacement_ = nullptr;
     Server* replaced_ = nullptr;
 };
 
-// The chain. A stage passes a call on, keeps it (something is out, or it went on by itself) or ends it.
-enum class Step { pass, keep, end };
-
-class Stage {
-public:
-    virtual ~Stage() = default;
-    virtual Step there(Call&) { return Step::pass; }
-    virtual Step back(Call&, Shot&) { return Step::pass; }
-};
-
-class Chain {
-public:
-    void add(Stage& stage) { stages_.push_back(&stage); }
-    Step there(Call& c, const Stage* after = nullptr) {
-        auto it = after ? std::find(stages_.begin(), stages_.end(), after) + 1 : stages_.begin();
-        for (; it != stages_.end(); ++it)
-            if (const Step step = (*it)->there(c); step != Step::pass) return step;
-        return Step::keep;
-    }
-    Step back(Call& c, Shot& shot) {
-        for (auto it = stages_.rbegin(); it != stages_.rend(); ++it)
-            if (const Step step = (*it)->back(c, shot); step != Step::pass) return step;
-        return Step::end;
-    }
-
-private:
-    std::vector<Stage*> stages_;
-};
-
 // Fairness: what a tenant sends beyond its allowance is worth little, so it is turned away first.
 class Shares : public Stage {
 public:
