Always let in only the balancer's share of the servers, with slack for chance where many share them

Cause: the floor of 4 to 10 calls always let in by each of 587 balancers is 20 at each one-core server, over a second of work; their given-up shots filled it, so 42% were refused while servers stayed jammed (counted: the floor turned away most, 2.4 to 4.3 given-up shots a balancer).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,6 +6,7 @@
 #include "logic.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <unordered_map>
 
@@ -118,9 +119,8 @@
         target_ = members_.size() + 1;
         refill();
     }
-    size_t floor() const {
-        return std::max(least_size, (3 * order_.size() + desk_.set.balancers - 1) / desk_.set.balancers);
-    }
+    double share() const { return 3.0 * order_.size() / desk_.set.balancers; }
+    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(share()))); }
     void resize() {
         const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
         target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
@@ -135,13 +135,16 @@
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
         const double wait = all - (desk_.now - c.arrived).s * part;
         for (auto& side : sides_) {
-            side.room = side.rate * wait;
-            side.slow = side.lately.total(desk_.now, time) / (side.lately.total(desk_.now, shots) + 2) > all;
+            side.room = side.rate * std::max(0.0, wait);
+            const double n = side.lately.total(desk_.now, shots) + 2;
+            const double took = side.lately.total(desk_.now, time) / n;
+            side.slow = took > all;
+            if (!side.slow) side.room += 2 * (1 - took / all) * std::sqrt(side.room) / std::max(1.0, share());
             side.floor = side.held = side.strength = 0;
         }
         for (auto* s : members_) {
             auto& side = sides_[far(*s)];
-            side.floor += 1.0 * floor() / members_.size();
+            side.floor += std::max(1.0, share()) / members_.size();
             side.held += s->held();
             if (!s->quarantined && desk_.now >= s->penalty_until) side.strength += strength(*s);
             earn(*s);
@@ -347,11 +350,13 @@
     }
     // By Little's law a call that joins those held at a server is answered after about their number over the
     // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
-    // early where all are so full. As many calls as the pool's floor are always let in, so that the rate can
-    // show itself: more, and many balancers would crowd a large fleet. Just after its start a balancer has no
-    // rate to go by: then one call a member. Worthier work may use more of its SLO. With a few calls a second
-    // the floor hides queues made by other balancers, so nothing is let in either while the shots of the
-    // last 2 s, two instant ones and none over the SLO counted, took longer on average.
+    // early where all are so full. Worthier work may use more of its SLO. This balancer's share of the
+    // servers, one call at least, is always let in, so that the rate can show itself: more, and hundreds of
+    // balancers would crowd the fleet for good. Just after its start a balancer has no rate to go by: then
+    // one call a member. Where each server has many balancers, a few calls above the mean are chance, and a
+    // queue is of others' calls: so there is slack of up to two roots of the room, less the longer the shots
+    // of the last 2 s took (two instant ones, and none over the SLO, counted), and no room at all once they
+    // took longer than may be waited.
     bool has_room(const Server& s) const {
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
