--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -339,14 +339,14 @@
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
     // No cold server pushed over by hundreds of balancers that each send a call now and then: with each call
-    // placed it earns no more of a turn than its warm share bears in the pool, so that all together send it
-    // what warm ones of its size get, and half of what the rule allows at most. A turn not taken lapses:
-    // turns saved up would be taken all at once in a burst.
+    // placed it earns its warm share of a turn, times half of what the rule allows, so that all together keep
+    // the rule and one alone need not know the others. A turn not taken lapses: turns saved up would be taken
+    // all at once in a burst.
     void earn(Server& s) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
         if (s.credit >= 1) s.credit -= 1;
-        s.credit += warm * s.size / std::max(size_sum_, s.size) * std::min(1.0, desk_.set.tip_multiple / 2);
+        s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple / 2;
     }
     // By Little's law a call that joins those held at a server is answered after about their number over the
     // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
