--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -150,8 +150,8 @@
             earn(*s);
         }
         bool full = false;
-        for (const bool penalised : {false, true})
-            for (const auto* among : {&members_, &order_})
+        for (const auto* among : {&members_, &order_})
+            for (const bool penalised : {false, true})
                 if (auto* best = pick(*among, c, penalised, full); best || full) return best;
         return nullptr;
     }
