--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -135,11 +135,10 @@
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
         const double wait = all - (desk_.now - c.arrived).s * part;
         for (auto& side : sides_) {
-            side.room = side.rate * std::max(0.0, wait);
             const double n = side.lately.total(desk_.now, shots) + 2;
-            const double took = side.lately.total(desk_.now, time) / n;
-            side.slow = took > all;
-            if (!side.slow) side.room += 2 * (1 - took / all) * std::sqrt(side.room) / std::max(1.0, share());
+            const double calm = std::max(0.0, 1 - side.lately.total(desk_.now, time) / n / all);
+            side.room = side.rate * wait;
+            if (wait > 0) side.room += 2 * calm * std::sqrt(side.room) / std::max(1.0, share());
             side.floor = side.held = side.strength = 0;
         }
         for (auto* s : members_) {
@@ -355,12 +354,11 @@
     // balancers would crowd the fleet for good. Just after its start a balancer has no rate to go by: then
     // one call a member. Where each server has many balancers, a few calls above the mean are chance, and a
     // queue is of others' calls: so there is slack of up to two roots of the room, less the longer the shots
-    // of the last 2 s took (two instant ones, and none over the SLO, counted), and no room at all once they
-    // took longer than may be waited.
+    // of the last 2 s took (two instant ones, and none over the SLO, counted).
     bool has_room(const Server& s) const {
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
-        if (side.slow || s.held() >= std::max(1.0, own)) return false;
+        if (s.held() >= std::max(1.0, own)) return false;
         return desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room);
     }
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
@@ -461,7 +459,6 @@
         double rate = 0;       // answers a second, at best lately
         double room = 0;       // calls that it may hold, for the call being placed
         double floor = 0, held = 0, strength = 0;
-        bool slow = false;
     } sides_[2];
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server* replacement_ = nullptr;
