--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,7 +24,7 @@
 constexpr Span hair{1e-6};                         // what rounding may take off a wake's time
 constexpr Span most_silence{1};
 constexpr double outstanding = 0.1;                // share of failures above the median's
-constexpr double most_wait = 0.7;                  // of the SLO
+constexpr double most_wait = 0.6;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
