--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -138,7 +138,7 @@
             const double n = side.lately.total(desk_.now, shots) + 2;
             const double calm = std::max(0.0, 1 - side.lately.total(desk_.now, time) / n / all);
             side.room = side.rate * wait;
-            if (wait > 0) side.room += 2 * calm * std::sqrt(side.room) / std::max(1.0, share());
+            if (wait > 0) side.room += 3 * calm * std::sqrt(side.room / std::max(1.0, share()));
             side.floor = side.held = side.strength = 0;
         }
         for (auto* s : members_) {
@@ -353,8 +353,8 @@
     // servers, one call at least, is always let in, so that the rate can show itself: more, and hundreds of
     // balancers would crowd the fleet for good. Just after its start a balancer has no rate to go by: then
     // one call a member. Where each server has many balancers, a few calls above the mean are chance, and a
-    // queue is of others' calls: so there is slack of up to two roots of the room, less the longer the shots
-    // of the last 2 s took (two instant ones, and none over the SLO, counted).
+    // queue is of others' calls: so there is slack of up to three roots of the room, less the longer the
+    // shots of the last 2 s took (two instant ones, and none over the SLO, counted).
     bool has_room(const Server& s) const {
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
