Serve API calls on real sockets: one process, one poll loop, own parsers

The program myrtleroute stands round the same decisions as the simulator's adapter: what is spoken in src/wire, what is kept in src/memory, start, loop and stop in src/run. Settings come flattened through SettingsReader.

--- /dev/null
+++ b/src/memory/servers.hpp
@@ -0,0 +1,57 @@
+// The servers that discovery has named, each with its address and the connections that stand idle to it.
+#pragma once
+#include <netinet/in.h>
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "logic.hpp"
+#include "memory/connection.hpp"
+
+namespace myrtleroute::memory {
+
+struct Line;
+
+struct Server {
+    ServerId id = 0;
+    std::string uid, endpoint;
+    sockaddr_in at{};
+    uint64_t listed_in = 0;          // the last list that named it
+    std::list<Line*> idle;           // the latest used first
+};
+
+class Servers {
+public:
+    // The decisions' id of a uid: the same at every balancer, since each finds its part of the list by it.
+    Server& named(std::string_view uid) {
+        const auto it = by_uid_.find(uid);
+        if (it != by_uid_.end()) return *it->second;
+        ServerId id = 14695981039346656037ULL;   // FNV-1a
+        for (const char c : uid) id = (id ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+        while (id == 0 || by_id_.count(id)) ++id;
+        auto server = std::make_unique<Server>();
+        server->id = id;
+        server->uid = uid;
+        auto* at = server.get();
+        by_id_[id] = at;
+        by_uid_.emplace(std::string(uid), std::move(server));
+        return *at;
+    }
+    Server* find(ServerId id) {
+        const auto it = by_id_.find(id);
+        return it == by_id_.end() ? nullptr : it->second;
+    }
+    template <class Each>
+    void each(Each&& what) {
+        for (auto& [uid, server] : by_uid_) what(*server);
+    }
+
+private:
+    std::map<std::string, std::unique_ptr<Server>, std::less<>> by_uid_;
+    std::map<ServerId, Server*> by_id_;
+};
+
+}  // namespace myrtleroute::memory
--- /dev/null
+++ b/src/run/clients.hpp
@@ -0,0 +1,47 @@
+// The application's side: takes API calls from connections and gives each its one answer.
+#pragma once
+#include <deque>
+#include <functional>
+#include <list>
+
+#include "run/shared.hpp"
+#include "wire/request.hpp"
+
+namespace myrtleroute::run {
+
+class Clients : public memory::Owner {
+public:
+    explicit Clients(Shared& shared) : s_(shared) {}
+    bool open();                                     // false: can't listen there
+    void ready() { ready_ = true; }                  // GET /up may answer 200
+    void give(memory::Held& call, int status, std::string_view body, std::string_view fields = {});
+    bool shed();                                     // ends the connection that has stood idle longest
+    void settle();                                   // goes on with requests that wait behind an answer
+    void last_ones();                                // takes what has come, listens no more, ends idle ones
+    void on_full(std::function<bool()> make_room) { make_room_ = std::move(make_room); }
+
+    void came(memory::Connection& c) override;
+    void went(memory::Connection& c) override;
+    void broke(memory::Connection& c, int error) override;
+    void due(memory::Connection& c) override;
+
+private:
+    struct Listener;
+    struct Client;
+    void accept();
+    void read(Client& c);
+    void take(Client& c);
+    void say(Client& c, int status, std::string_view body, std::string_view fields = {});
+    void rest(Client& c);
+    void wait(Client& c);
+    void end(Client& c, memory::Why why);
+
+    Shared& s_;
+    Listener* listener_ = nullptr;
+    std::list<Client*> idle_;                        // the longest idle first
+    std::deque<Client*> waiting_;
+    std::function<bool()> make_room_;
+    bool ready_ = false, stopping_ = false;
+};
+
+}  // namespace myrtleroute::run
--- /dev/null
+++ b/src/run/loop.hpp
@@ -0,0 +1,71 @@
+// The loop: poll(2) on every connection, the thin driver that moves bytes between sockets and rings, timers.
+#pragma once
+#include <poll.h>
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <vector>
+
+#include "memory/connection.hpp"
+#include "run/log.hpp"
+#include "time.hpp"
+
+namespace myrtleroute::run {
+
+class Loop {
+public:
+    explicit Loop(Log& log);
+    Time now() const { return now_; }
+    size_t connections() const { return polled_.size(); }
+
+    template <class C>
+    C& adopt(std::unique_ptr<C> connection) {
+        C& c = *connection;
+        take_in(std::move(connection));
+        return c;
+    }
+    void flush(memory::Connection& c);                     // writes what it can; the rest when it may
+    void listen_to(memory::Connection& c, bool on);
+    void end(memory::Connection& c, memory::Why why);      // closes it, with its log line
+    void set(memory::Connection& c, Time at) { timers_.set(c, at); }
+    void clear(memory::Connection& c) { timers_.clear(c); }
+    void wake(Time at, uint64_t cookie) { wakes_.push({at, next_wake_++, cookie}); }
+
+    // One round: waits until something is due or has come, and hands it on. `settle` runs after every part,
+    // for what must not happen inside of what caused it; `woken` gets the cookies whose time has come.
+    void round(const std::function<void(uint64_t)>& woken, const std::function<void()>& settle);
+
+private:
+    void take_in(std::unique_ptr<memory::Connection> c);
+    void look_again(memory::Connection& c);                // at what it is polled for
+    void read(memory::Connection& c);
+    void ready(memory::Connection& c, short what);
+    int pause() const;
+
+    struct Wake {
+        Time at;
+        uint64_t number, cookie;
+        bool operator<(const Wake& o) const { return at != o.at ? at > o.at : number > o.number; }
+    };
+    Log& log_;
+    Time now_;
+    std::vector<pollfd> polled_;
+    std::vector<std::unique_ptr<memory::Connection>> connections_;   // by the same places
+    std::vector<std::unique_ptr<memory::Connection>> ended_;         // until the round is over
+    std::vector<std::pair<memory::Connection*, short>> ready_;
+    memory::Timers timers_;
+    std::priority_queue<Wake> wakes_;
+    uint64_t next_number_ = 1, next_wake_ = 0;
+};
+
+Time read_clock();
+
+// Descriptors that don't block and are closed on exec; below 0 where it failed.
+int listen_at(const sockaddr_in& at);
+int connect_to(const sockaddr_in& at, bool& at_once);
+bool still_quiet(int fd);   // no bytes and no end have come
+
+}  // namespace myrtleroute::run
--- /dev/null
+++ b/src/run/proxy.cpp
@@ -0,0 +1,153 @@
+#include "run/proxy.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <sstream>
+
+namespace myrtleroute::run {
+
+using memory::Count;
+
+namespace {
+
+// At a planned restart new connections go on coming for up to 0.4 s, and the end comes no sooner than the
+// longest client timeout, 3 s at most, and 0.7 s more.
+constexpr Span clients_come{0.5}, most_timeout{3}, beyond_timeout{0.6};
+
+int signal_pipe = -1;
+
+void on_signal(int number) {
+    const int error = errno;
+    const char byte = static_cast<char>(number);
+    [[maybe_unused]] const auto n = ::write(signal_pipe, &byte, 1);
+    errno = error;
+}
+
+struct Signals : memory::Connection {
+    Signals(memory::Owner& by, int fd) : Connection(by, fd, 1, 1) { listens = true; }
+    std::string name() const override { return "signals"; }
+};
+
+}  // namespace
+
+Proxy::Proxy(Config config)
+    : s_(std::move(config)), clients_(s_), servers_(s_, clients_), watcher_(s_, servers_) {
+    clients_.on_full([this] { return servers_.shed() || clients_.shed(); });
+}
+
+int Proxy::run() {
+    if (!hear_signals() || !clients_.open()) {
+        s_.log.error() << "configuration: listen can't be listened to: " << std::strerror(errno);
+        return 1;
+    }
+    s_.balancer = start_balancer(s_.loop.now(), s_.settings(), s_.config.seed, *this);
+    watcher_.tell_known();
+    s_.log.info() << s_.config.name << " serves";
+    const auto woken = [this](uint64_t cookie) { s_.balancer->woke(s_.loop.now(), cookie); };
+    const auto after_each = [this] { settle(); };
+    while (!stopping_ || s_.loop.now() < stop_at_ || (s_.calls.size() && s_.loop.now() < end_at_)) {
+        if (watcher_.has_list()) clients_.ready();
+        s_.loop.round(woken, after_each);
+        if (s_.loop.now() >= stop_at_) {
+            stop_at_ = Time{-1};
+            clients_.last_ones();
+        }
+    }
+    last_answers();
+    auto line = s_.log.info();
+    std::ostringstream counts;
+    s_.counters.print(counts);
+    line << s_.config.name << " ends: " << counts.str();
+    return 0;
+}
+
+bool Proxy::hear_signals() {
+    int ends[2];
+    if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) return false;
+    signal_pipe = ends[1];
+    s_.loop.adopt(std::make_unique<Signals>(*this, ends[0]));
+    struct sigaction action{};
+    action.sa_handler = on_signal;
+    for (const int number : {SIGTERM, SIGINT, SIGUSR1}) ::sigaction(number, &action, nullptr);
+    action.sa_handler = SIG_IGN;
+    return ::sigaction(SIGPIPE, &action, nullptr) == 0;
+}
+
+void Proxy::came(memory::Connection& c) {
+    char number = 0;
+    while (::read(c.fd, &number, 1) == 1) {
+        if (number == SIGUSR1) {
+            std::ostringstream counts;
+            s_.counters.print(counts);
+            s_.log.warning() << s_.config.name << " counts: " << counts.str();
+        } else if (!stopping_) {
+            s_.log.info() << s_.config.name << " is told to stop";
+            Span longest;
+            for (const auto& p : s_.settings().products) longest = std::max(longest, p.client_timeout);
+            stopping_ = true;
+            stop_at_ = s_.loop.now() + clients_come;
+            end_at_ = s_.loop.now() + std::min(longest, most_timeout) + beyond_timeout;
+            wake(clients_come, 0);
+            wake(end_at_ - s_.loop.now(), 0);
+        }
+    }
+}
+
+void Proxy::settle() {
+    servers_.settle();
+    watcher_.settle();
+    clients_.settle();
+    servers_.settle();
+}
+
+// What can't be waited for any longer gets its answer all the same.
+void Proxy::last_answers() {
+    s_.calls.each([this](memory::Held& call) {
+        if (call.client) clients_.give(call, 502, "");
+    });
+}
+
+void Proxy::send(CallId id, ServerId server, Span try_for) {
+    if (auto* call = s_.calls.find(id)) servers_.send(*call, server, try_for);
+}
+
+void Proxy::cancel(CallId id, int shot) {
+    if (auto* call = s_.calls.find(id)) servers_.cancel(*call, shot);
+}
+
+void Proxy::rate_limit(CallId id, Span come_back) {
+    auto* call = s_.calls.find(id);
+    if (!call) return;
+    s_.counters.add(Count::calls_rate_limited);
+    std::ostringstream fields;
+    if (come_back > Span{}) fields << "Retry-After: " << come_back.s << "\r\n";
+    clients_.give(*call, 429, "", fields.str());
+}
+
+void Proxy::error(CallId id) {
+    auto* call = s_.calls.find(id);
+    if (!call) return;
+    s_.counters.add(Count::calls_errored);
+    clients_.give(*call, 502, "");
+}
+
+void Proxy::probe(ServerId server) { servers_.probe(server); }
+
+void Proxy::close_idle(ServerId id) {
+    if (auto* server = s_.servers.find(id)) servers_.close_idle(*server, memory::Why::idle);
+}
+
+void Proxy::watch_list() { watcher_.watch(); }
+
+void Proxy::wake(Span after, uint64_t cookie) { s_.loop.wake(s_.loop.now() + after, cookie); }
+
+void Proxy::log(std::string_view line, ServerId about) {
+    const auto* server = about ? s_.servers.find(about) : nullptr;
+    s_.log.info() << line << (server ? " " + server->uid + " at " + server->endpoint : "");
+}
+
+}  // namespace myrtleroute::run
--- /dev/null
+++ b/src/run/proxy.hpp
@@ -0,0 +1,42 @@
+// The proxy: carries out what the decisions ask for, and takes it through start, service and stop.
+#pragma once
+#include "run/clients.hpp"
+#include "run/servers.hpp"
+#include "run/shared.hpp"
+#include "run/watcher.hpp"
+
+namespace myrtleroute::run {
+
+class Proxy : public Actions, public memory::Owner {
+public:
+    explicit Proxy(Config config);
+    int run();   // until SIGTERM or SIGINT; the program's exit status
+
+    void send(CallId call, ServerId server, Span try_for) override;
+    void cancel(CallId call, int shot) override;
+    void rate_limit(CallId call, Span come_back) override;
+    void error(CallId call) override;
+    void probe(ServerId server) override;
+    void close_idle(ServerId server) override;
+    void watch_list() override;
+    void wake(Span after, uint64_t cookie) override;
+    void log(std::string_view line, ServerId about) override;
+
+private:
+    void came(memory::Connection& c) override;   // a signal
+    void broke(memory::Connection&, int) override {}
+    void due(memory::Connection&) override {}
+    bool hear_signals();
+    void settle();
+    void last_answers();
+
+    Shared s_;
+    Clients clients_;
+    Servers servers_;
+    Watcher watcher_;
+    Time stop_at_{1e18};   // clients come no more; far off until told to stop
+    Time end_at_{1e18};
+    bool stopping_ = false;
+};
+
+}  // namespace myrtleroute::run
--- /dev/null
+++ b/src/run/servers.cpp
@@ -0,0 +1,253 @@
+#include "run/servers.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+#include "wire/load_report.hpp"
+
+namespace myrtleroute::memory {
+
+constexpr size_t most_in = 16 * 1024, most_out = wire::most_body + 40 * 1024;
+
+Line::Line(Owner& by, int fd, Server& to)
+    : Connection(by, fd, most_in, most_out), server(&to), http(wire::HttpMachine::Side::answer, reader) {}
+
+}  // namespace myrtleroute::memory
+
+namespace myrtleroute::run {
+
+using memory::Connection;
+using memory::Count;
+using memory::Line;
+using memory::Why;
+
+namespace {
+
+constexpr double idle_share = 0.75;   // of the time after which servers close idle connections
+constexpr double probe_share = 2;     // of the time a connection may take to come up
+
+Count counter(Outcome outcome) {
+    switch (outcome) {
+        case Outcome::fulfilled: return Count::shots_fulfilled;
+        case Outcome::errored: return Count::shots_errored;
+        case Outcome::full: return Count::shots_full;
+        case Outcome::timed_out: return Count::shots_timed_out;
+        case Outcome::connect_failed: return Count::shots_connect_failed;
+        case Outcome::reset: return Count::shots_reset;
+        case Outcome::cancelled: return Count::shots_cancelled;
+        case Outcome::never_sent: break;
+    }
+    return Count::shots_never_sent;
+}
+
+}  // namespace
+
+void Servers::send(memory::Held& call, ServerId id, Span try_for) {
+    const int shot = static_cast<int>(call.shots.size());
+    auto* server = s_.servers.find(id);
+    Line* line = server && try_for > Span{} ? line_to(*server) : nullptr;
+    call.shots.push_back(line);
+    ++call.out;
+    s_.counters.add(Count::shots_sent);
+    if (!line) {
+        ended_.push_back({call.id, shot, server && errno != EMFILE ? Outcome::connect_failed : Outcome::never_sent, 0});
+        return;
+    }
+    line->call = &call;
+    line->shot = shot;
+    dispatch(*line, call.ask.head, call.ask.body, try_for);
+}
+
+// The latest used of the idle connections that has not been closed at the other end, or else a new one.
+Line* Servers::line_to(memory::Server& server) {
+    while (!server.idle.empty()) {
+        auto& line = *server.idle.front();
+        unused(line);
+        if (still_quiet(line.fd)) return &line;
+        s_.loop.end(line, Why::peer_closed);
+    }
+    errno = EMFILE;
+    if (s_.loop.connections() >= s_.most_connections() && !shed() && !clients_.shed()) return nullptr;
+    bool at_once = false;
+    const int fd = connect_to(server.at, at_once);
+    if (fd < 0) return nullptr;
+    s_.counters.add(Count::connections_to_servers);
+    auto line = std::make_unique<Line>(*this, fd, server);
+    line->connecting = !at_once;
+    return &s_.loop.adopt(std::move(line));
+}
+
+void Servers::dispatch(Line& line, const std::string& head, const std::string& body, Span try_for) {
+    line.until = s_.loop.now() + try_for;
+    line.out.push(head);
+    line.out.push("X-Timeout: " + std::to_string(static_cast<long long>(try_for.s * 1e6)) + "u\r\n");
+    if (!body.empty() || head.front() == 'P') line.out.push("Content-Length: " + std::to_string(body.size()) + "\r\n");
+    line.out.push("\r\n");
+    line.out.push(body);
+    const auto up_by = s_.loop.now() + s_.settings().connect_timeout;
+    s_.loop.set(line, line.connecting ? std::min(line.until, up_by) : line.until);
+    s_.loop.flush(line);
+}
+
+void Servers::cancel(memory::Held& call, int shot) {
+    if (shot < 0 || shot >= static_cast<int>(call.shots.size()) || !call.shots[shot]) return;
+    auto& line = static_cast<Line&>(*call.shots[shot]);
+    call.shots[shot] = nullptr;
+    line.call = nullptr;
+    s_.loop.end(line, Why::cancelled);
+    ended_.push_back({call.id, shot, Outcome::cancelled, 0});
+}
+
+void Servers::probe(ServerId id) {
+    auto* server = s_.servers.find(id);
+    Line* line = server ? line_to(*server) : nullptr;
+    s_.counters.add(Count::probes_sent);
+    if (!line) {
+        ended_.push_back({0, 0, Outcome::never_sent, id});
+        return;
+    }
+    line->probes = true;
+    dispatch(*line, "GET /alive HTTP/1.1\r\nHost: " + server->endpoint + "\r\n", "",
+             s_.settings().connect_timeout * probe_share);
+}
+
+void Servers::came(Connection& connection) {
+    auto& line = static_cast<Line&>(connection);
+    if (!line.busy()) {
+        unused(line);
+        return s_.loop.end(line, line.in.empty() ? Why::peer_closed : Why::bad_answer);
+    }
+    while (!line.in.empty() && !line.http.done() && !line.http.fault())
+        line.in.drop(line.http.feed(line.in.front()));
+    if (line.ended && !line.http.done()) line.http.closed();
+    if (line.http.done() && line.out.empty()) return done(line);
+    // Broken before the last byte of the request was written, it can't have run.
+    const auto outcome = line.out.empty() ? Outcome::reset : Outcome::connect_failed;
+    if (line.http.done() && line.reader.outcome() == Outcome::full) ends(line, Outcome::full, Why::told_to_close);
+    else if (line.http.done() || line.http.fault()) ends(line, outcome, line.ended ? Why::peer_closed : Why::bad_answer);
+    else if (line.ended) ends(line, outcome, Why::peer_closed);
+}
+
+// A whole answer.
+void Servers::done(Line& line) {
+    const auto outcome = line.reader.outcome();
+    const bool keeps = line.http.keeps() && line.in.empty() && !line.ended;
+    auto reply = std::move(line.reader);
+    auto* call = std::exchange(line.call, nullptr);
+    const int shot = line.shot;
+    const bool probe = std::exchange(line.probes, false);
+    const auto server = line.server->id;
+    line.http.next();
+    line.reader = {};
+    if (!reply.load.empty()) {
+        std::string figures;
+        const bool sound = wire::read_load(reply.load, [&](std::string_view name, double value) {
+            figures += " " + std::string(name) + "=" + std::to_string(value);
+        });
+        s_.counters.add(sound ? Count::load_reports : Count::load_reports_bad);
+        if (sound) s_.log.debug() << "load of " << line.server->uid << ':' << figures;
+    }
+    if (keeps) {
+        line.place = idle_.insert(idle_.begin(), &line);
+        line.server_place = line.server->idle.insert(line.server->idle.begin(), &line);
+        line.idle = true;
+        line.fresh = false;
+        s_.loop.set(line, s_.loop.now() + s_.settings().idle_close * idle_share);
+    } else {
+        s_.loop.end(line, Why::told_to_close);
+    }
+    if (probe) return probed(server, outcome == Outcome::fulfilled);
+    call->shots[shot] = nullptr;
+    if (outcome == Outcome::fulfilled && call->client) {
+        s_.counters.add(Count::calls_fulfilled);
+        clients_.give(*call, 200, reply.text,
+                      reply.content_type.empty() ? "" : "Content-Type: " + reply.content_type + "\r\n");
+    }
+    told(call->id, shot, outcome);
+}
+
+void Servers::ends(Line& line, Outcome outcome, Why why) {
+    auto* call = std::exchange(line.call, nullptr);
+    const int shot = line.shot;
+    const auto server = line.server->id;
+    const bool probe = line.probes;
+    s_.loop.end(line, why);
+    if (probe) return probed(server, false);
+    call->shots[shot] = nullptr;
+    told(call->id, shot, outcome);
+}
+
+void Servers::told(CallId id, int shot, Outcome outcome) {
+    auto* call = s_.calls.find(id);
+    if (!call) return;
+    s_.counters.add(counter(outcome));
+    --call->out;
+    s_.balancer->shot_ended(s_.loop.now(), id, shot, outcome, !call->client);
+    s_.calls.forget_if_over(*call);
+}
+
+void Servers::probed(ServerId server, bool answered) {
+    if (answered) s_.counters.add(Count::probes_answered);
+    s_.balancer->probed(s_.loop.now(), server, answered);
+}
+
+void Servers::settle() {
+    while (!ended_.empty()) {
+        const auto ended = ended_.front();
+        ended_.pop_front();
+        if (ended.probed) probed(ended.probed, false);
+        else told(ended.call, ended.shot, ended.outcome);
+    }
+}
+
+void Servers::broke(Connection& connection, int error) {
+    auto& line = static_cast<Line&>(connection);
+    if (!line.busy()) {
+        unused(line);
+        return s_.loop.end(line, Why::peer_reset);
+    }
+    const bool up = !line.connecting;
+    ends(line, up && line.out.empty() ? Outcome::reset : Outcome::connect_failed,
+         error == ECONNREFUSED ? Why::refused : Why::peer_reset);
+}
+
+void Servers::due(Connection& connection) {
+    auto& line = static_cast<Line&>(connection);
+    if (line.idle) {
+        unused(line);
+        s_.loop.end(line, Why::idle);
+    } else if (line.connecting) {
+        ends(line, Outcome::connect_failed, Why::connect_timed_out);
+    } else if (s_.loop.now() < line.until) {
+        s_.loop.set(line, line.until);   // it came up in time
+    } else {
+        ends(line, line.out.empty() ? Outcome::timed_out : Outcome::connect_failed, Why::answer_timed_out);
+    }
+}
+
+void Servers::unused(Line& line) {
+    if (!std::exchange(line.idle, false)) return;
+    idle_.erase(line.place);
+    line.server->idle.erase(line.server_place);
+    s_.loop.clear(line);
+}
+
+void Servers::close_idle(memory::Server& server, Why why) {
+    while (!server.idle.empty()) {
+        auto& line = *server.idle.front();
+        unused(line);
+        s_.loop.end(line, why);
+    }
+}
+
+bool Servers::shed() {
+    if (idle_.empty()) return false;
+    auto& line = *idle_.back();
+    unused(line);
+    s_.counters.add(Count::connections_shed);
+    s_.loop.end(line, Why::shed);
+    return true;
+}
+
+}  // namespace myrtleroute::run
--- /dev/null
+++ b/src/run/shared.hpp
@@ -0,0 +1,39 @@
+// What the sides of the proxy share.
+#pragma once
+#include <memory>
+
+#include "logic.hpp"
+#include "memory/calls.hpp"
+#include "memory/counters.hpp"
+#include "memory/servers.hpp"
+#include "run/config.hpp"
+#include "run/log.hpp"
+#include "run/loop.hpp"
+#include "wire/http.hpp"
+
+namespace myrtleroute::run {
+
+struct Shared {
+    Config config;
+    Log log;
+    Loop loop;
+    memory::Counters counters;
+    memory::Calls calls;
+    memory::Servers servers;
+    std::unique_ptr<Balancer> balancer;
+
+    explicit Shared(Config c) : config(std::move(c)), log(config.log_level), loop(log) {}
+    const Settings& settings() const { return config.settings; }
+    // Descriptors: what is open without being a connection, and a few in hand for discovery and new clients.
+    static constexpr size_t kept_back = 16;
+    size_t most_connections() const {
+        // A call at its largest holds a request and an answer, and both are bounded.
+        const size_t by_memory = config.memory_mb * (1 << 20) / 2 / (3 * wire::most_body / 2);
+        return std::min(config.sockets - kept_back, 2 * by_memory);
+    }
+    size_t most_calls() const {
+        return std::min<size_t>(settings().max_open, most_connections() / 2);
+    }
+};
+
+}  // namespace myrtleroute::run
--- /dev/null
+++ b/src/run/watcher.cpp
@@ -0,0 +1,155 @@
+#include "run/watcher.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "wire/endpoint.hpp"
+
+namespace myrtleroute::run {
+
+using memory::Connection;
+using memory::Count;
+using memory::Why;
+
+namespace {
+
+constexpr size_t most_list = 4 << 20;
+constexpr Span most_hold{60};
+constexpr Span answers_within{2};   // a call that does not wait, or after its wait
+
+}  // namespace
+
+struct Watcher::Call : Connection {
+    Call(Owner& by, int fd)
+        : Connection(by, fd, 64 * 1024, 4096), http(wire::HttpMachine::Side::answer, reader, most_list) {}
+    std::string name() const override { return "discovery"; }
+    wire::ReplyReader reader;
+    wire::HttpMachine http;
+};
+
+Watcher::Watcher(Shared& shared, Servers& servers)
+    : s_(shared), servers_(servers), zones_(shared.settings().zones) {
+    const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+    clocks_apart_ = std::chrono::duration<double>(unix_time).count() - read_clock().s;
+}
+
+void Watcher::tell_known() {
+    cached_ = true;
+    s_.config.tell_known(*this, rev_);
+    cached_ = false;
+    has_rev_ = has_list_;
+    s_.config.text = {};
+}
+
+void Watcher::watch() {
+    if (!call_) ask();
+}
+
+// The next call of a watch, on the same connection as long as that holds.
+void Watcher::ask() {
+    if (!call_) {
+        bool at_once = false;
+        const int fd = connect_to(s_.config.discovery, at_once);
+        if (fd < 0) {
+            could_not_ask_ = true;
+            return;
+        }
+        auto call = std::make_unique<Call>(*this, fd);
+        call->connecting = !at_once;
+        call_ = &s_.loop.adopt(std::move(call));
+    }
+    // Held no longer than the time within which a balancer that does not watch has to ask.
+    const Span ask_within = s_.settings().ask_within;
+    const Span hold = has_rev_ ? std::min(most_hold, ask_within > Span{} ? ask_within : most_hold) : Span{};
+    std::string target = "/discovery/hosts";
+    if (has_rev_)
+        target += "?from=" + std::to_string(rev_) + "&hold_ms=" + std::to_string(static_cast<int>(hold.s * 1000));
+    call_->out.push("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
+    s_.loop.set(*call_, s_.loop.now() + hold + answers_within);
+    s_.loop.flush(*call_);
+}
+
+void Watcher::came(Connection& connection) {
+    if (&connection != call_) return;
+    auto& c = *call_;
+    while (!c.in.empty() && !c.http.done() && !c.http.fault()) c.in.drop(c.http.feed(c.in.front()));
+    if (c.ended && !c.http.done()) c.http.closed();
+    if (!c.http.done()) {
+        if (c.http.fault() || c.ended) failed(c.ended ? Why::peer_closed : Why::bad_answer);
+        return;
+    }
+    if (c.reader.status != 200) return failed(Why::failed);
+    if (!wire::tell_list(c.reader.text, *this, rev_)) return failed(Why::bad_answer);
+    has_rev_ = true;
+    const bool keeps = c.http.keeps() && c.in.empty() && !c.ended;
+    c.http.next();
+    c.reader = {};
+    if (!keeps) {
+        s_.loop.end(c, Why::told_to_close);
+        call_ = nullptr;
+    }
+    ask();   // at once, so that the watch goes on
+}
+
+void Watcher::broke(Connection& connection, int) {
+    if (&connection == call_) failed(call_->connecting ? Why::refused : Why::peer_reset);
+}
+
+void Watcher::due(Connection& connection) {
+    if (&connection == call_) failed(Why::answer_timed_out);
+}
+
+void Watcher::failed(Why why) {
+    s_.loop.end(*call_, why);
+    call_ = nullptr;
+    s_.counters.add(Count::lists_failed);
+    s_.balancer->list_failed(s_.loop.now());
+}
+
+void Watcher::settle() {
+    if (!std::exchange(could_not_ask_, false)) return;
+    s_.counters.add(Count::lists_failed);
+    s_.balancer->list_failed(s_.loop.now());
+}
+
+void Watcher::list_starts(bool whole) {
+    ++lists_;
+    whole_ = whole;
+    s_.balancer->list_starts(s_.loop.now(), whole, cached_);
+}
+
+void Watcher::server(std::string_view uid, std::string_view endpoint, std::string_view zone, uint16_t cell,
+                     std::string_view state, double size, double boot_ms) {
+    auto& server = s_.servers.named(uid);
+    server.listed_in = lists_;
+    if (server.endpoint != endpoint && !endpoint.empty()) {
+        servers_.close_idle(server, Why::server_left);
+        server.endpoint = endpoint;
+        server.at = *wire::read_endpoint(endpoint);
+    }
+    const auto is = state == "SERVING" ? State::ready : state == "DRAINING" ? State::draining : State::gone;
+    if (is == State::gone) servers_.close_idle(server, Why::server_left);
+    const Time launched = boot_ms > 0 ? Time{boot_ms / 1000 - clocks_apart_} : long_ago;
+    s_.balancer->lists(server.id, zone_number(zone), cell, is, size, launched);
+    has_list_ = true;
+}
+
+void Watcher::list_ends() {
+    if (whole_)
+        s_.servers.each([&](memory::Server& server) {
+            if (server.listed_in != lists_) servers_.close_idle(server, Why::server_left);
+        });
+    if (!cached_) s_.counters.add(Count::lists_told);
+    s_.balancer->list_ends();
+}
+
+uint16_t Watcher::zone_number(std::string_view name) {
+    std::string plain(name);
+    std::replace(plain.begin(), plain.end(), ' ', '_');   // as the settings have it
+    const auto at = std::find(zones_.begin(), zones_.end(), plain);
+    const auto number = at - zones_.begin();
+    if (at == zones_.end() && zones_.size() < 65535) zones_.push_back(plain);
+    return static_cast<uint16_t>(number);
+}
+
+}  // namespace myrtleroute::run
--- /dev/null
+++ b/src/run/watcher.hpp
@@ -0,0 +1,43 @@
+// Discovery's side: watches the list of servers and tells it.
+#pragma once
+#include "run/servers.hpp"
+#include "run/shared.hpp"
+#include "wire/discovery.hpp"
+#include "wire/reply.hpp"
+
+namespace myrtleroute::run {
+
+class Watcher : public memory::Owner, public wire::ListSink {
+public:
+    Watcher(Shared& shared, Servers& servers);
+    void tell_known();
+    bool has_list() const { return has_list_; }
+    void watch();     // from now on, until a call fails
+    void settle();
+
+    void list_starts(bool whole) override;
+    void server(std::string_view uid, std::string_view endpoint, std::string_view zone, uint16_t cell,
+                std::string_view state, double size, double boot_ms) override;
+    void list_ends() override;
+
+    void came(memory::Connection& c) override;
+    void broke(memory::Connection& c, int error) override;
+    void due(memory::Connection& c) override;
+
+private:
+    struct Call;
+    void ask();
+    void failed(memory::Why why);
+    uint16_t zone_number(std::string_view name);
+
+    Shared& s_;
+    Servers& servers_;
+    Call* call_ = nullptr;
+    std::string body_;
+    std::vector<std::string> zones_;
+    double clocks_apart_;            // seconds from this machine's steady clock to Unix time
+    uint64_t rev_ = 0, lists_ = 0;
+    bool has_rev_ = false, has_list_ = false, cached_ = false, whole_ = false, could_not_ask_ = false;
+};
+
+}  // namespace myrtleroute::run
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -1,5 +1,6 @@
 // The settings that are read, decoded once at start from path=value pairs.
 #pragma once
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <map>
@@ -23,6 +24,10 @@
     double start_capacity = 1, tip_multiple = 1;
     double cross_price = 0;
     double surplus_value = 1;         // share of the value beyond a tenant's allowance
+    // The proxy's own: how connections and answers are kept, and the zones' names.
+    Span connect_timeout, idle_close, grace_to_answer;
+    int max_open = 1;
+    std::vector<std::string> zones;
 };
 
 class SettingsReader {
@@ -61,6 +66,11 @@
         s.tip_multiple = positive("Guarantees.TipMultiple");
         s.cross_price = number("Prices.CrossZone", 0);
         s.surplus_value = number("SurplusBilledValue", 1);
+        s.connect_timeout = {positive("Limits.ConnectTimeoutS", 1)};
+        s.idle_close = {positive("Limits.IdleCloseS", 60)};
+        s.grace_to_answer = {number("Guarantees.GraceToAnswerS", 0)};
+        s.max_open = std::max(1, count("Limits.MaxOpen", number("Limits.MaxOpen", 1e6)));
+        s.zones = list("Zones");
         return s;
     }
 
@@ -95,6 +105,19 @@
     double number(const std::string& path, double otherwise) const {
         return found_.count(path) ? number(path) : otherwise;
     }
+    double positive(const std::string& path, double otherwise) const {
+        return found_.count(path) ? positive(path) : otherwise;
+    }
+    std::vector<std::string> list(const std::string& path) const {
+        std::vector<std::string> parts;
+        const auto it = found_.find(path);
+        if (it == found_.end()) return parts;
+        for (size_t from = 0, to; from < it->second.size(); from = to + 1) {
+            to = std::min(it->second.find(',', from), it->second.size());
+            parts.push_back(it->second.substr(from, to - from));
+        }
+        return parts;
+    }
     double positive(const std::string& path) const {
         const double n = number(path);
         if (n <= 0) throw std::runtime_error("setting " + path + " must be above 0");
--- /dev/null
+++ b/src/wire/http.cpp
@@ -0,0 +1,173 @@
+#include "wire/http.hpp"
+
+#include <algorithm>
+
+#include "wire/text.hpp"
+
+namespace myrtleroute::wire {
+namespace {
+
+constexpr size_t most_line = 8 * 1024, most_head = 32 * 1024;
+
+bool token(std::string_view s) {
+    return !s.empty() && std::all_of(s.begin(), s.end(), [](char c) {
+        return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') ||
+               std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+    });
+}
+
+bool visible(std::string_view s, bool spaces) {
+    return std::all_of(s.begin(), s.end(), [spaces](char c) {
+        const auto u = static_cast<unsigned char>(c);
+        return (u > 0x20 && u != 0x7f) || (spaces && (c == ' ' || c == '\t'));
+    });
+}
+
+}  // namespace
+
+size_t HttpMachine::feed(std::string_view bytes) {
+    const size_t given = bytes.size();
+    while (!bytes.empty() && !fault_ && state_ != State::done) {
+        begun_ = true;
+        size_t n = bytes.size();
+        switch (state_) {
+            case State::body: case State::chunk:
+                n = std::min(n, left_);
+                reader_->body(bytes.substr(0, n));
+                left_ -= n;
+                if (left_ == 0) state_ = state_ == State::body ? State::done : State::chunk_end;
+                break;
+            case State::until_closed:
+                taken_ += n;
+                if (taken_ > most_body_) fail(413);
+                else reader_->body(bytes);
+                break;
+            default: {
+                const auto end = bytes.find('\n');
+                n = end == bytes.npos ? n : end + 1;
+                line_.append(bytes.substr(0, n));
+                head_ += n;
+                if (line_.size() > most_line || head_ > most_head) fail(431);
+                else if (end != bytes.npos) {
+                    const auto text = std::move(line_);
+                    line_.clear();
+                    // A line that ends with a bare line feed is read differently by different parsers.
+                    if (text.size() < 2 || text[text.size() - 2] != '\r') fail(400);
+                    else line(std::string_view(text).substr(0, text.size() - 2));
+                }
+            }
+        }
+        bytes.remove_prefix(n);
+    }
+    return given - bytes.size();
+}
+
+void HttpMachine::closed() {
+    if (state_ == State::until_closed) state_ = State::done;
+    else if (begun_ && state_ != State::done) fail(400);
+}
+
+void HttpMachine::next() { *this = HttpMachine(side_, *reader_, most_body_); }
+
+void HttpMachine::line(std::string_view text) {
+    switch (state_) {
+        case State::start:
+            if (text.empty() && side_ == Side::request && head_ == 2) return;   // one is allowed before it
+            return start_line(text);
+        case State::fields: return text.empty() ? head_ends() : field_line(text);
+        case State::chunk_size: return chunk_size(text);
+        case State::chunk_end:
+            if (!text.empty()) return fail(400);
+            state_ = State::chunk_size;
+            return;
+        case State::trailer:
+            if (text.empty()) state_ = State::done;
+            return;
+        default: return;
+    }
+}
+
+void HttpMachine::start_line(std::string_view text) {
+    const auto one = text.find(' ');
+    if (one == text.npos) return fail(400);
+    auto two = text.find(' ', one + 1);
+    if (two == text.npos && side_ == Side::answer) two = text.size();   // the reason may be left out
+    if (two == text.npos) return fail(400);
+    const auto first = text.substr(0, one), second = text.substr(one + 1, two - one - 1);
+    const auto third = two < text.size() ? text.substr(two + 1) : std::string_view{};
+    const auto version = side_ == Side::request ? third : first;
+    if (version != "HTTP/1.1" && version != "HTTP/1.0") return fail(400);
+    old_ = version == "HTTP/1.0";
+    keeps_ = !old_;
+    if (side_ == Side::request) {
+        if (!token(first) || second.empty() || second.front() != '/' || !visible(second, false))
+            return fail(400);
+    } else {
+        status_ = whole<int>(second).value_or(0);
+        if (second.size() != 3 || status_ < 100) return fail(400);
+    }
+    state_ = State::fields;
+    if (const int fault = reader_->start(first, second, third)) fail(fault);
+}
+
+void HttpMachine::field_line(std::string_view text) {
+    const auto colon = text.find(':');
+    if (colon == text.npos) return fail(400);
+    const auto name = text.substr(0, colon), value = trim(text.substr(colon + 1));
+    if (!token(name) || !visible(value, true)) return fail(400);   // also folded lines
+    if (same(name, "Content-Length")) {
+        const auto length = whole<uint64_t>(value);
+        if (!length || has_length_) return fail(400);
+        has_length_ = true;
+        if (*length > most_body_) return fail(413);
+        left_ = static_cast<size_t>(*length);
+    } else if (same(name, "Transfer-Encoding")) {
+        if (chunked_ || !same(value, "chunked")) return fail(400);
+        chunked_ = true;
+    } else if (same(name, "Connection")) {
+        for (auto rest = value; !rest.empty();) {
+            const auto part = next_part(rest);
+            if (same(part, "close")) keeps_ = false;
+            if (same(part, "keep-alive") && old_) keeps_ = true;
+        }
+    } else if (same(name, "Host")) {
+        ++hosts_;
+    } else if (same(name, "Expect") && side_ == Side::request) {
+        if (!same(value, "100-continue")) return fail(417);
+        continue_ = true;
+    }
+    if (const int fault = reader_->field(name, value)) fail(fault);
+}
+
+void HttpMachine::head_ends() {
+    if (side_ == Side::request && hosts_ != 1 && !(old_ && hosts_ == 0)) return fail(400);
+    // Two lengths, or one that an older parser would not see: where the message ends is anyone's guess.
+    if (chunked_ && (has_length_ || old_)) return fail(400);
+    if (side_ == Side::answer && status_ < 200) {
+        if (status_ == 101) return fail(400);
+        const auto head = head_;
+        next();
+        head_ = head;
+        begun_ = true;
+        return;
+    }
+    if (const int fault = reader_->head_ends()) return fail(fault);
+    const bool bare = side_ == Side::answer && (status_ == 204 || status_ == 304);
+    if (bare) state_ = State::done;
+    else if (chunked_) state_ = State::chunk_size;
+    else if (has_length_ || side_ == Side::request) state_ = left_ ? State::body : State::done;
+    else state_ = State::until_closed;
+    if (state_ == State::until_closed) keeps_ = false;
+}
+
+void HttpMachine::chunk_size(std::string_view text) {
+    const auto size = whole<uint32_t>(trim(text.substr(0, text.find(';'))), 16);
+    if (!size) return fail(400);
+    taken_ += *size;
+    if (taken_ > most_body_) return fail(413);
+    left_ = *size;
+    head_ = 0;   // each chunk's lines are bounded by themselves
+    state_ = left_ ? State::chunk : State::trailer;
+}
+
+}  // namespace myrtleroute::wire
--- /dev/null
+++ b/src/wire/request.cpp
@@ -0,0 +1,71 @@
+#include "wire/request.hpp"
+
+#include <algorithm>
+
+#include "wire/text.hpp"
+
+namespace myrtleroute::wire {
+
+Span read_time_out(std::string_view text) {
+    if (text.size() < 2) return {-1};
+    const char unit = text.back();
+    const auto n = decimal(text.substr(0, text.size() - 1));
+    if (!n || !(*n >= 0) || (unit != 'm' && unit != 'u')) return {-1};
+    return {*n * (unit == 'm' ? 1e-3 : 1e-6)};
+}
+
+void RequestReader::next() {
+    ask_ = {};
+    up_ = false;
+}
+
+int RequestReader::start(std::string_view method, std::string_view target, std::string_view) {
+    if (method != "GET" && method != "POST") return 405;
+    up_ = method == "GET" && target == "/up";
+    ask_.head.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+    return 0;
+}
+
+int RequestReader::field(std::string_view name, std::string_view value) {
+    static constexpr std::string_view own[] = {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
+                                               "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
+    if (std::any_of(std::begin(own), std::end(own), [&](auto o) { return same(name, o); })) return 0;
+    if (same(name, "X-Timeout")) {
+        if (ask_.patience.s >= 0) return 400;
+        ask_.patience = read_time_out(value);
+        return ask_.patience.s >= 0 ? 0 : 400;
+    }
+    if (same(name, "X-Priority-Class")) {
+        if (ask_.product >= 0) return 400;
+        for (size_t i = 0; i < settings_->products.size(); ++i)
+            if (settings_->products[i].name == value) ask_.product = static_cast<int>(i);
+        if (ask_.product < 0) return 400;
+    }
+    if (same(name, "X-Request-ID")) {
+        if (ask_.has_id || value.empty()) return 400;
+        ask_.has_id = true;
+    }
+    ask_.head.append(name).append(": ").append(value).append("\r\n");
+    return 0;
+}
+
+int RequestReader::head_ends() {
+    if (up_) return 0;
+    if (!ask_.has_id || ask_.product < 0) return 400;
+    if (ask_.patience.s < 0) ask_.patience = settings_->products[ask_.product].client_timeout;
+    return 0;
+}
+
+std::string answer(int status, std::string_view body, bool keep, std::string_view more) {
+    const char* reason = status == 200 ? "OK" : status == 400 ? "Bad Request" : status == 405 ? "Method Not Allowed"
+                         : status == 408 ? "Request Timeout" : status == 413 ? "Content Too Large"
+                         : status == 417 ? "Expectation Failed" : status == 429 ? "Too Many Requests"
+                         : status == 431 ? "Request Header Fields Too Large" : status == 502 ? "Bad Gateway"
+                         : status == 503 ? "Service Unavailable" : "Error";
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n";
+    if (!keep) text += "Connection: close\r\n";
+    return text.append(more).append("\r\n").append(body);
+}
+
+}  // namespace myrtleroute::wire
--- /dev/null
+++ b/src/wire/request.hpp
@@ -0,0 +1,35 @@
+// Reads a client's request straight into the API call that it asks for, and words the answers to clients.
+#pragma once
+#include <string>
+#include <string_view>
+
+#include "memory/calls.hpp"
+#include "settings.hpp"
+#include "wire/http.hpp"
+
+namespace myrtleroute::wire {
+
+class RequestReader : public HttpReader {
+public:
+    explicit RequestReader(const Settings& settings) : settings_(&settings) {}
+    void next();                                  // for the next request of the connection
+    bool asks_if_up() const { return up_; }       // GET /up
+    memory::Ask& ask() { return ask_; }
+
+    int start(std::string_view method, std::string_view target, std::string_view version) override;
+    int field(std::string_view name, std::string_view value) override;
+    int head_ends() override;
+    void body(std::string_view bytes) override { ask_.body.append(bytes); }
+
+private:
+    const Settings* settings_;
+    memory::Ask ask_;
+    bool up_ = false;
+};
+
+// `480m` or `900u`; below 0 where it is neither.
+Span read_time_out(std::string_view text);
+
+std::string answer(int status, std::string_view body, bool keep, std::string_view more = {});
+
+}  // namespace myrtleroute::wire
--- /dev/null
+++ b/src/wire/text.hpp
@@ -0,0 +1,48 @@
+// What the parsers share: comparing, trimming and reading numbers, all of it strict.
+#pragma once
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <string_view>
+
+namespace myrtleroute::wire {
+
+inline char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
+
+inline bool same(std::string_view a, std::string_view b) {   // but for case
+    if (a.size() != b.size()) return false;
+    for (size_t i = 0; i < a.size(); ++i)
+        if (lower(a[i]) != lower(b[i])) return false;
+    return true;
+}
+
+inline std::string_view trim(std::string_view s) {
+    while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
+    while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+    return s;
+}
+
+// Takes the next part off a list with commas.
+inline std::string_view next_part(std::string_view& rest) {
+    const auto comma = rest.find(',');
+    const auto part = rest.substr(0, comma);
+    rest = comma == rest.npos ? std::string_view{} : rest.substr(comma + 1);
+    return trim(part);
+}
+
+template <class T>
+std::optional<T> whole(std::string_view s, int base = 10) {   // digits alone, and no more than T holds
+    T value{};
+    const auto [end, error] = std::from_chars(s.data(), s.data() + s.size(), value, base);
+    if (s.empty() || s.front() == '-' || error != std::errc{} || end != s.data() + s.size()) return {};
+    return value;
+}
+
+inline std::optional<double> decimal(std::string_view s) {
+    double value = 0;
+    const auto [end, error] = std::from_chars(s.data(), s.data() + s.size(), value);
+    if (s.empty() || error != std::errc{} || end != s.data() + s.size() || !std::isfinite(value)) return {};
+    return value;
+}
+
+}  // namespace myrtleroute::wire
