--- a/src/memory/calls.hpp
+++ b/src/memory/calls.hpp
@@ -26,7 +26,6 @@
     CallId id = 0;
     Ask ask;
     Connection* client = nullptr;      // none once it has its answer, or is gone
-    Time give_up;
     std::vector<Connection*> shots;    // where each is out; none once it has ended
     int out = 0;                       // shots whose end is still to be told
 };
--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -50,12 +50,13 @@
 
 // With no descriptor left, idle connections go first; without any, new ones wait in the system's queue.
 void Clients::accept() {
-    for (int i = 0; i < 64; ++i) {
+    for (;;) {
         bool room = s_.loop.connections() < s_.most_connections() || make_room_();
         if (room) {
             const int fd = ::accept4(listener_->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (fd >= 0) {
                 s_.counters.add(Count::connections_from_clients);
+                ++open_;
                 rest(s_.loop.adopt(std::make_unique<Client>(*this, fd, s_.settings())));
                 continue;
             }
@@ -119,7 +120,6 @@
     // Our answer has to be with the client before it gives up, so a little of its patience is kept back.
     const Span patience = call.ask.patience;
     const Span ours = patience - std::min(s_.settings().grace_to_answer, patience * 0.1);
-    call.give_up = s_.loop.now() + ours;
     const auto id = call.id;
     s_.balancer->call_arrived(s_.loop.now(), id, static_cast<uint32_t>(call.ask.product), 0, ours);
     s_.calls.forget_if_over(call);
@@ -200,11 +200,13 @@
 }
 
 void Clients::end(Client& c, Why why) {
+    if (!c.open()) return;
     if (c.idle) idle_.erase(c.place);
     c.idle = false;
     if (c.waits) std::erase(waiting_, &c);
     c.waits = false;
     auto* call = std::exchange(c.call, nullptr);
+    --open_;
     s_.loop.end(c, why);
     if (!call) return;
     call->client = nullptr;
--- a/src/run/clients.hpp
+++ b/src/run/clients.hpp
@@ -18,6 +18,7 @@
     bool shed();                                     // ends the connection that has stood idle longest
     void settle();                                   // goes on with requests that wait behind an answer
     void last_ones();                                // takes what has come, listens no more, ends idle ones
+    bool over() const { return open_ == 0; }
     void on_full(std::function<bool()> make_room) { make_room_ = std::move(make_room); }
 
     void came(memory::Connection& c) override;
@@ -41,6 +42,7 @@
     std::list<Client*> idle_;                        // the longest idle first
     std::deque<Client*> waiting_;
     std::function<bool()> make_room_;
+    size_t open_ = 0;
     bool ready_ = false, stopping_ = false;
 };
 
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -49,13 +49,9 @@
     s_.log.info() << s_.config.name << " serves";
     const auto woken = [this](uint64_t cookie) { s_.balancer->woke(s_.loop.now(), cookie); };
     const auto after_each = [this] { settle(); };
-    while (!stopping_ || s_.loop.now() < stop_at_ || (s_.calls.size() && s_.loop.now() < end_at_)) {
+    while (phase_ < closed || (phase_ == closed && !clients_.over())) {
         if (watcher_.has_list()) clients_.ready();
         s_.loop.round(woken, after_each);
-        if (s_.loop.now() >= stop_at_) {
-            stop_at_ = Time{-1};
-            clients_.last_ones();
-        }
     }
     last_answers();
     auto line = s_.log.info();
@@ -69,7 +65,7 @@
     int ends[2];
     if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) return false;
     signal_pipe = ends[1];
-    s_.loop.adopt(std::make_unique<Signals>(*this, ends[0]));
+    signals_ = &s_.loop.adopt(std::make_unique<Signals>(*this, ends[0]));
     struct sigaction action{};
     action.sa_handler = on_signal;
     for (const int number : {SIGTERM, SIGINT, SIGUSR1}) ::sigaction(number, &action, nullptr);
@@ -84,19 +80,27 @@
             std::ostringstream counts;
             s_.counters.print(counts);
             s_.log.warning() << s_.config.name << " counts: " << counts.str();
-        } else if (!stopping_) {
+        } else if (phase_ == serving) {
             s_.log.info() << s_.config.name << " is told to stop";
             Span longest;
             for (const auto& p : s_.settings().products) longest = std::max(longest, p.client_timeout);
-            stopping_ = true;
-            stop_at_ = s_.loop.now() + clients_come;
+            phase_ = stopping;
             end_at_ = s_.loop.now() + std::min(longest, most_timeout) + beyond_timeout;
-            wake(clients_come, 0);
-            wake(end_at_ - s_.loop.now(), 0);
+            s_.loop.set(*signals_, s_.loop.now() + clients_come);
         }
     }
 }
 
+void Proxy::due(memory::Connection&) {
+    if (phase_ == closed) {
+        phase_ = over;
+        return;
+    }
+    phase_ = closed;
+    clients_.last_ones();
+    s_.loop.set(*signals_, end_at_);
+}
+
 void Proxy::settle() {
     servers_.settle();
     watcher_.settle();
--- a/src/run/proxy.hpp
+++ b/src/run/proxy.hpp
@@ -25,7 +25,7 @@
 private:
     void came(memory::Connection& c) override;   // a signal
     void broke(memory::Connection&, int) override {}
-    void due(memory::Connection&) override {}
+    void due(memory::Connection&) override;      // the time to stop, then the time to end
     bool hear_signals();
     void settle();
     void last_answers();
@@ -34,9 +34,9 @@
     Clients clients_;
     Servers servers_;
     Watcher watcher_;
-    Time stop_at_{1e18};   // clients come no more; far off until told to stop
-    Time end_at_{1e18};
-    bool stopping_ = false;
+    memory::Connection* signals_ = nullptr;
+    enum { serving, stopping, closed, over } phase_ = serving;
+    Time end_at_;
 };
 
 }  // namespace myrtleroute::run
--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -45,13 +45,13 @@
 
 void Servers::send(memory::Held& call, ServerId id, Span try_for) {
     const int shot = static_cast<int>(call.shots.size());
-    auto* server = s_.servers.find(id);
-    Line* line = server && try_for > Span{} ? line_to(*server) : nullptr;
+    auto outcome = Outcome::never_sent;
+    Line* line = try_for > Span{} ? line_to(id, outcome) : nullptr;
     call.shots.push_back(line);
     ++call.out;
     s_.counters.add(Count::shots_sent);
     if (!line) {
-        ended_.push_back({call.id, shot, server && errno != EMFILE ? Outcome::connect_failed : Outcome::never_sent, 0});
+        ended_.push_back({call.id, shot, outcome, 0});
         return;
     }
     line->call = &call;
@@ -60,20 +60,26 @@
 }
 
 // The latest used of the idle connections that has not been closed at the other end, or else a new one.
-Line* Servers::line_to(memory::Server& server) {
-    while (!server.idle.empty()) {
-        auto& line = *server.idle.front();
+Line* Servers::line_to(ServerId id, Outcome& otherwise) {
+    auto* server = s_.servers.find(id);
+    if (!server) return nullptr;
+    while (!server->idle.empty()) {
+        auto& line = *server->idle.front();
         unused(line);
         if (still_quiet(line.fd)) return &line;
         s_.loop.end(line, Why::peer_closed);
     }
-    errno = EMFILE;
     if (s_.loop.connections() >= s_.most_connections() && !shed() && !clients_.shed()) return nullptr;
     bool at_once = false;
-    const int fd = connect_to(server.at, at_once);
-    if (fd < 0) return nullptr;
+    int fd = connect_to(server->at, at_once);
+    if (fd < 0 && errno == EMFILE && (shed() || clients_.shed())) fd = connect_to(server->at, at_once);
+    if (fd < 0) {
+        // That we have no descriptor left is no server's fault.
+        if (errno != EMFILE && errno != ENFILE) otherwise = Outcome::connect_failed;
+        return nullptr;
+    }
     s_.counters.add(Count::connections_to_servers);
-    auto line = std::make_unique<Line>(*this, fd, server);
+    auto line = std::make_unique<Line>(*this, fd, *server);
     line->connecting = !at_once;
     return &s_.loop.adopt(std::move(line));
 }
@@ -100,15 +106,15 @@
 }
 
 void Servers::probe(ServerId id) {
-    auto* server = s_.servers.find(id);
-    Line* line = server ? line_to(*server) : nullptr;
+    auto outcome = Outcome::never_sent;
+    Line* line = line_to(id, outcome);
     s_.counters.add(Count::probes_sent);
     if (!line) {
-        ended_.push_back({0, 0, Outcome::never_sent, id});
+        ended_.push_back({0, 0, outcome, id});
         return;
     }
     line->probes = true;
-    dispatch(*line, "GET /alive HTTP/1.1\r\nHost: " + server->endpoint + "\r\n", "",
+    dispatch(*line, "GET /alive HTTP/1.1\r\nHost: " + line->server->endpoint + "\r\n", "",
              s_.settings().connect_timeout * probe_share);
 }
 
@@ -143,7 +149,7 @@
     if (!reply.load.empty()) {
         std::string figures;
         const bool sound = wire::read_load(reply.load, [&](std::string_view name, double value) {
-            figures += " " + std::string(name) + "=" + std::to_string(value);
+            figures.append(" ").append(name).append("=").append(std::to_string(value));
         });
         s_.counters.add(sound ? Count::load_reports : Count::load_reports_bad);
         if (sound) s_.log.debug() << "load of " << line.server->uid << ':' << figures;
@@ -152,7 +158,6 @@
         line.place = idle_.insert(idle_.begin(), &line);
         line.server_place = line.server->idle.insert(line.server->idle.begin(), &line);
         line.idle = true;
-        line.fresh = false;
         s_.loop.set(line, s_.loop.now() + s_.settings().idle_close * idle_share);
     } else {
         s_.loop.end(line, Why::told_to_close);
--- a/src/run/servers.hpp
+++ b/src/run/servers.hpp
@@ -20,7 +20,6 @@
     Held* call = nullptr;        // whose shot is out on it
     int shot = 0;
     bool probes = false;
-    bool fresh = true;           // carries its first exchange
     Time until;                  // what it carries is given up
     bool idle = false;           // in both lists, at its places
     std::list<Line*>::iterator place, server_place;
@@ -46,7 +45,7 @@
     void due(memory::Connection& c) override;
 
 private:
-    memory::Line* line_to(memory::Server& server);
+    memory::Line* line_to(ServerId id, Outcome& otherwise);
     void dispatch(memory::Line& line, const std::string& head, const std::string& body, Span try_for);
     void ends(memory::Line& line, Outcome outcome, memory::Why why);   // and closes it
     void done(memory::Line& line);
--- a/src/run/shared.hpp
+++ b/src/run/shared.hpp
@@ -1,5 +1,8 @@
 // What the sides of the proxy share.
 #pragma once
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <memory>
 
 #include "logic.hpp"
@@ -22,14 +25,18 @@
     memory::Servers servers;
     std::unique_ptr<Balancer> balancer;
 
-    explicit Shared(Config c) : config(std::move(c)), log(config.log_level), loop(log) {}
+    explicit Shared(Config c) : config(std::move(c)), log(config.log_level), loop(log) {
+        rlimit system{};
+        if (::getrlimit(RLIMIT_NOFILE, &system) == 0)
+            config.sockets = std::min<size_t>(config.sockets, system.rlim_cur);
+    }
     const Settings& settings() const { return config.settings; }
     // Descriptors: what is open without being a connection, and a few in hand for discovery and new clients.
     static constexpr size_t kept_back = 16;
     size_t most_connections() const {
         // A call at its largest holds a request and an answer, and both are bounded.
         const size_t by_memory = config.memory_mb * (1 << 20) / 2 / (3 * wire::most_body / 2);
-        return std::min(config.sockets - kept_back, 2 * by_memory);
+        return std::min(std::max(config.sockets, 2 * kept_back) - kept_back, 2 * by_memory);
     }
     size_t most_calls() const {
         return std::min<size_t>(settings().max_open, most_connections() / 2);
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "wire/endpoint.hpp"
 
@@ -16,6 +17,7 @@
 constexpr size_t most_list = 4 << 20;
 constexpr Span most_hold{60};
 constexpr Span answers_within{2};   // a call that does not wait, or after its wait
+constexpr Span rest{0.1};           // a watch goes on as long as the next call comes within twice this
 
 }  // namespace
 
@@ -25,6 +27,9 @@
     std::string name() const override { return "discovery"; }
     wire::ReplyReader reader;
     wire::HttpMachine http;
+    Time asked;
+    bool answered = false;   // an earlier call on this connection
+    bool rests = false;      // until the next one
 };
 
 Watcher::Watcher(Shared& shared, Servers& servers)
@@ -65,13 +70,14 @@
     if (has_rev_)
         target += "?from=" + std::to_string(rev_) + "&hold_ms=" + std::to_string(static_cast<int>(hold.s * 1000));
     call_->out.push("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
+    call_->asked = s_.loop.now();
+    call_->rests = false;
     s_.loop.set(*call_, s_.loop.now() + hold + answers_within);
     s_.loop.flush(*call_);
 }
 
-void Watcher::came(Connection& connection) {
-    if (&connection != call_) return;
-    auto& c = *call_;
+void Watcher::came(Connection&) {
+    auto& c = *call_;   // there is never another
     while (!c.in.empty() && !c.http.done() && !c.http.fault()) c.in.drop(c.http.feed(c.in.front()));
     if (c.ended && !c.http.done()) c.http.closed();
     if (!c.http.done()) {
@@ -79,29 +85,38 @@
         return;
     }
     if (c.reader.status != 200) return failed(Why::failed);
+    const auto rev = rev_;
     if (!wire::tell_list(c.reader.text, *this, rev_)) return failed(Why::bad_answer);
+    const bool nothing_new = has_rev_ && rev == rev_;
     has_rev_ = true;
     const bool keeps = c.http.keeps() && c.in.empty() && !c.ended;
     c.http.next();
     c.reader = {};
+    c.answered = true;
     if (!keeps) {
         s_.loop.end(c, Why::told_to_close);
         call_ = nullptr;
     }
+    if (keeps && nothing_new && s_.loop.now() - c.asked < rest) {
+        c.rests = true;   // it does not hold calls back, and would be asked without end
+        return s_.loop.set(c, s_.loop.now() + rest);
+    }
     ask();   // at once, so that the watch goes on
 }
 
-void Watcher::broke(Connection& connection, int) {
-    if (&connection == call_) failed(call_->connecting ? Why::refused : Why::peer_reset);
-}
+void Watcher::broke(Connection& c, int) { failed(c.connecting ? Why::refused : Why::peer_reset); }
 
-void Watcher::due(Connection& connection) {
-    if (&connection == call_) failed(Why::answer_timed_out);
+void Watcher::due(Connection&) {
+    if (call_->rests) ask();
+    else failed(Why::answer_timed_out);
 }
 
 void Watcher::failed(Why why) {
+    // Discovery may close a connection between two calls; that is no failure, and the watch goes on.
+    const bool crossed = call_->answered && !call_->http.begun() && why != Why::answer_timed_out;
     s_.loop.end(*call_, why);
     call_ = nullptr;
+    if (crossed) return ask();
     s_.counters.add(Count::lists_failed);
     s_.balancer->list_failed(s_.loop.now());
 }
--- a/src/wire/request.cpp
+++ b/src/wire/request.cpp
@@ -16,7 +16,7 @@
 
 void RequestReader::next() {
     ask_ = {};
-    up_ = false;
+    up_ = host_ = false;
 }
 
 int RequestReader::start(std::string_view method, std::string_view target, std::string_view) {
@@ -30,6 +30,7 @@
     static constexpr std::string_view own[] = {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
                                                "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
     if (std::any_of(std::begin(own), std::end(own), [&](auto o) { return same(name, o); })) return 0;
+    if (same(name, "Host")) host_ = true;
     if (same(name, "X-Timeout")) {
         if (ask_.patience.s >= 0) return 400;
         ask_.patience = read_time_out(value);
@@ -51,6 +52,7 @@
 
 int RequestReader::head_ends() {
     if (up_) return 0;
+    if (!host_) ask_.head.append("Host: api\r\n");   // an older client's, which need not say
     if (!ask_.has_id || ask_.product < 0) return 400;
     if (ask_.patience.s < 0) ask_.patience = settings_->products[ask_.product].client_timeout;
     return 0;
@@ -62,8 +64,9 @@
                          : status == 417 ? "Expectation Failed" : status == 429 ? "Too Many Requests"
                          : status == 431 ? "Request Header Fields Too Large" : status == 502 ? "Bad Gateway"
                          : status == 503 ? "Service Unavailable" : "Error";
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\nContent-Length: " +
-                       std::to_string(body.size()) + "\r\n";
+    std::string text = "HTTP/1.1 ";
+    text.append(std::to_string(status)).append(" ").append(reason).append("\r\nContent-Length: ");
+    text.append(std::to_string(body.size())).append("\r\n");
     if (!keep) text += "Connection: close\r\n";
     return text.append(more).append("\r\n").append(body);
 }
--- a/src/wire/request.hpp
+++ b/src/wire/request.hpp
@@ -24,7 +24,7 @@
 private:
     const Settings* settings_;
     memory::Ask ask_;
-    bool up_ = false;
+    bool up_ = false, host_ = false;
 };
 
 // `480m` or `900u`; below 0 where it is neither.
