Test the program on loopback; watch from the list the configuration holds

Toy clients, servers and discovery play the proxy by hand: what becomes of each kind of failed shot, silence, clients that leave, stale idle connections, the largest bodies, lists that change, move, fail or are nonsense, SIGTERM, few descriptors, bad requests and bad configuration. All pass plain and under the sanitizers.

Found by them: the first watch asked for the whole list instead of what came after the list in the configuration, because the decisions ask for the watch before they are told that list (Watcher::watch asked at once). It now asks once what led to it is over.

--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -46,19 +46,12 @@
     s_.config.text = {};
 }
 
-void Watcher::watch() {
-    if (!call_) ask();
-}
-
 // The next call of a watch, on the same connection as long as that holds.
 void Watcher::ask() {
     if (!call_) {
         bool at_once = false;
         const int fd = connect_to(s_.config.discovery, at_once);
-        if (fd < 0) {
-            could_not_ask_ = true;
-            return;
-        }
+        if (fd < 0) return no_list();
         auto call = std::make_unique<Call>(*this, fd);
         call->connecting = !at_once;
         call_ = &s_.loop.adopt(std::move(call));
@@ -116,13 +109,15 @@
     const bool crossed = call_->answered && !call_->http.begun() && why != Why::answer_timed_out;
     s_.loop.end(*call_, why);
     call_ = nullptr;
-    if (crossed) return ask();
-    s_.counters.add(Count::lists_failed);
-    s_.balancer->list_failed(s_.loop.now());
+    if (crossed) ask();
+    else no_list();
 }
 
 void Watcher::settle() {
-    if (!std::exchange(could_not_ask_, false)) return;
+    if (std::exchange(wanted_, false) && !call_) ask();
+}
+
+void Watcher::no_list() {
     s_.counters.add(Count::lists_failed);
     s_.balancer->list_failed(s_.loop.now());
 }
--- a/src/run/watcher.hpp
+++ b/src/run/watcher.hpp
@@ -12,7 +12,7 @@
     Watcher(Shared& shared, Servers& servers);
     void tell_known();
     bool has_list() const { return has_list_; }
-    void watch();     // from now on, until a call fails
+    void watch() { wanted_ = true; }   // from now on, until a call fails
     void settle();
 
     void list_starts(bool whole) override;
@@ -28,6 +28,7 @@
     struct Call;
     void ask();
     void failed(memory::Why why);
+    void no_list();
     uint16_t zone_number(std::string_view name);
 
     Shared& s_;
@@ -37,7 +38,7 @@
     std::vector<std::string> zones_;
     double clocks_apart_;            // seconds from this machine's steady clock to Unix time
     uint64_t rev_ = 0, lists_ = 0;
-    bool has_rev_ = false, has_list_ = false, cached_ = false, whole_ = false, could_not_ask_ = false;
+    bool has_rev_ = false, has_list_ = false, cached_ = false, whole_ = false, wanted_ = false;
 };
 
 }  // namespace myrtleroute::run
--- /dev/null
+++ b/tests/proxy_test.cpp
@@ -0,0 +1,592 @@
+// The program itself on loopback, between toy clients, servers and discovery that the cases play by hand.
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <vector>
+
+#include "run/config.hpp"
+#include "wire/endpoint.hpp"
+
+namespace {
+
+constexpr double soon = 10;   // far more than anything here takes, so that only a fault waits as long
+
+double clock_now() {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+void wait(double seconds) { ::usleep(static_cast<useconds_t>(seconds * 1e6)); }
+
+// An address of loopback that no other run of the tests has, and a port of its own for each listener.
+std::string fresh_endpoint() {
+    static int next = 20000;
+    const int pid = ::getpid();
+    return "127." + std::to_string(100 + (pid >> 16) % 100) + "." + std::to_string(pid >> 8 & 255) + "." +
+           std::to_string(1 + (pid & 255) % 254) + ":" + std::to_string(next++);
+}
+
+class Wire {
+public:
+    explicit Wire(int fd = -1) : fd_(fd) {}
+    Wire(Wire&& o) : fd_(std::exchange(o.fd_, -1)), held_(std::move(o.held_)) {}
+    Wire& operator=(Wire&& o) {
+        std::swap(fd_, o.fd_);
+        std::swap(held_, o.held_);
+        return *this;
+    }
+    ~Wire() { close(); }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    void half_close() { ::shutdown(fd_, SHUT_WR); }
+    bool open() const { return fd_ >= 0; }
+    bool ready(double within) const {
+        pollfd p{fd_, POLLIN, 0};
+        return ::poll(&p, 1, static_cast<int>(within * 1000)) == 1;
+    }
+    void send(std::string_view text) {
+        while (!text.empty()) {
+            const auto n = ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+            if (n <= 0) return;
+            text.remove_prefix(static_cast<size_t>(n));
+        }
+    }
+    bool more(double within = soon) {   // false: nothing came, or the end did
+        char bytes[4096];
+        const auto n = ready(within) ? ::recv(fd_, bytes, sizeof bytes, 0) : 0;
+        if (n > 0) held_.append(bytes, static_cast<size_t>(n));
+        return n > 0;
+    }
+    bool ends(double within = soon) {
+        while (more(within)) {}
+        return ready(0);
+    }
+    // One whole message with its length given; empty if the connection ended or fell silent before.
+    std::string message() {
+        for (;;) {
+            const auto head = held_.find("\r\n\r\n");
+            if (head != held_.npos) {
+                size_t size = head + 4;
+                if (const auto at = held_.find("Content-Length: "); at < head) size += std::stoul(held_.substr(at + 16));
+                if (held_.size() >= size) {
+                    const auto whole = held_.substr(0, size);
+                    held_.erase(0, size);
+                    return whole;
+                }
+            }
+            if (!more()) return "";
+        }
+    }
+
+private:
+    int fd_;
+    std::string held_;
+};
+
+class Listener {
+public:
+    explicit Listener(int backlog = 64) : endpoint(fresh_endpoint()), fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        const auto at = *myrtleroute::wire::read_endpoint(endpoint);
+        REQUIRE(::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
+        REQUIRE(::listen(fd_, backlog) == 0);
+    }
+    Listener(Listener&& o) : endpoint(o.endpoint), fd_(std::exchange(o.fd_, -1)) {}
+    ~Listener() { close(); }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    bool called(double within) const {
+        pollfd p{fd_, POLLIN, 0};
+        return ::poll(&p, 1, static_cast<int>(within * 1000)) == 1;
+    }
+    Wire accept() {
+        REQUIRE(called(soon));
+        return Wire(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+    }
+    std::string endpoint;
+
+private:
+    int fd_;
+};
+
+Wire connect(const std::string& endpoint, int flags = 0) {
+    const auto at = *myrtleroute::wire::read_endpoint(endpoint);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 || flags) return Wire(fd);
+    ::close(fd);
+    return Wire();
+}
+
+std::string answer(const std::string& body, const std::string& status = "200 OK", const std::string& fields = "") {
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+std::string request(const std::string& product, const std::string& body = "", const std::string& time_out = "5000m") {
+    return (product == "read" ? "GET" : "POST") + std::string(" /api?day=1 HTTP/1.1\r\nHost: api.internal\r\n") +
+           "X-Request-ID: 9b1f03aa\r\nX-Priority-Class: " + product + "\r\nX-Timeout: " + time_out + "\r\n" +
+           (product == "read" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+}
+int status(const std::string& message) { return message.size() > 12 ? std::atoi(message.c_str() + 9) : 0; }
+std::string entry(int uid, const std::string& endpoint, const std::string& state = "SERVING") {
+    return R"({"uid":"s-)" + std::to_string(uid) + R"(","endpoint":")" + endpoint + R"(","az":"north hall",)" +
+           R"("model":"m","pod_group":0,"state":")" + state + R"(","capacity_hint":1.0,"boot_ms":0})";
+}
+std::string list(int rev, bool all, const std::string& entries) {
+    return R"({"rev":)" + std::to_string(rev) + R"(,"all":)" + (all ? "true" : "false") + R"(,"targets":[)" + entries + "]}";
+}
+
+std::string product(const std::string& name, const std::string& repeat) {
+    return R"({"Name":")" + name + R"(","BilledValue":1,"LatencySloS":4,"ClientTimeoutS":5,"Idempotency":")" + repeat +
+           R"(","Streaming":false})";
+}
+// `read` is idempotent, `book` is not.
+std::string config(const std::string& listen, const std::string& discovery, const std::string& known) {
+    return R"({"name":"n1","listen":")" + listen + R"(","discovery":")" + discovery +
+           R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":64},"known":)" + known +
+           R"(,"settings":{"Products":[)" + product("read", "read_like") + "," + product("book", "non_idempotent") +
+           R"(],"Projects":[],"Zones":["north hall","yard"],"Balancers":1,"Me":0,"Locality":0,"Discovery":"on_request",)" +
+           R"("Limits":{"Probing":true,"Cancel":true,"RetryAfter":true,"MaxShots":3,"MaxRetryAfterS":1.5,)" +
+           R"("ConnectTimeoutS":0.25,"IdleCloseS":60},"Guarantees":{"AskWithinS":10,"WarmAfterS":9,"StartCapacity":0.3,)" +
+           R"("TipMultiple":4,"GraceToAnswerS":0.02}}})";
+}
+
+// The program, told of `servers` toy servers.
+class World {
+public:
+    explicit World(int servers = 1, int backlog = 64) : listen(fresh_endpoint()) {
+        std::string known;
+        for (int i = 0; i < servers; ++i) {
+            this->servers.emplace_back(backlog);
+            known += (i ? "," : "") + entry(i, this->servers[i].endpoint);
+        }
+        start(config(listen, discovery.endpoint, list(5, true, known)));
+        for (double until = clock_now() + soon; !connect(listen).open() && clock_now() < until;) wait(0.01);
+    }
+    ~World() {
+        if (pid_ > 0) ::kill(pid_, SIGKILL);
+        if (pid_ > 0) ::waitpid(pid_, nullptr, 0);
+        ::unlink(config_path_.c_str());
+        ::unlink(log_path_.c_str());
+    }
+    Wire client() { return connect(listen); }
+    void signal(int number) { ::kill(pid_, number); }
+    // Its exit status, once it has ended by itself.
+    int exit_status() {
+        int status = -1;
+        for (double until = clock_now() + soon; clock_now() < until; wait(0.01))
+            if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+                pid_ = -1;
+                return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            }
+        return -1;
+    }
+    std::string log() const {
+        std::ifstream file(log_path_);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+    bool logs(const std::string& what) const {
+        for (double until = clock_now() + soon; clock_now() < until; wait(0.01))
+            if (log().find(what) != std::string::npos) return true;
+        return false;
+    }
+    std::string listen;
+    Listener discovery;
+    std::vector<Listener> servers;
+
+protected:
+    void start(const std::string& text) {
+        char config_name[] = "/tmp/myrtleroute-config-XXXXXX", log_name[] = "/tmp/myrtleroute-log-XXXXXX";
+        const int config_file = ::mkstemp(config_name), log_file = ::mkstemp(log_name);
+        config_path_ = config_name;
+        log_path_ = log_name;
+        REQUIRE(::write(config_file, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        ::close(config_file);
+        pid_ = ::fork();
+        if (pid_ == 0) {
+            ::setenv("BALANCER_CONFIG", config_name, 1);
+            ::dup2(log_file, 2);
+            ::execl(MYRTLEROUTE_PROGRAM, MYRTLEROUTE_PROGRAM, nullptr);
+            ::_exit(99);
+        }
+        ::close(log_file);
+    }
+    explicit World(const std::string& broken_config) { start(broken_config); }
+
+private:
+    pid_t pid_ = -1;
+    std::string config_path_, log_path_;
+};
+
+struct Misconfigured : World {
+    explicit Misconfigured(const std::string& text) : World(text) {}
+};
+
+}  // namespace
+
+TEST_CASE("a call goes to a server unchanged, and a server's answer back") {
+    World w;
+    auto client = w.client();
+    client.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(status(client.message()) == 200);
+    client.send(request("book", "two seats"));
+    auto server = w.servers[0].accept();
+    const auto first = server.message();
+    CHECK(first.find("POST /api?day=1 HTTP/1.1\r\n") == 0);
+    CHECK(first.find("\r\nX-Request-ID: 9b1f03aa\r\n") != first.npos);
+    CHECK(first.substr(first.size() - 9) == "two seats");
+    const auto told = first.find("\r\nX-Timeout: ");
+    REQUIRE(told != first.npos);
+    const double left = std::stod(first.substr(told + 13));
+    CHECK((left <= 5e6 && left > 4e6));
+    CHECK(first.substr(first.find("\r\n", told + 2) - 1, 1) == "u");
+    server.send(answer("booked", "200 OK", "Content-Type: text/plain\r\nX-Server-Load: TEXT queue=1\r\n"));
+    const auto back = client.message();
+    CHECK(status(back) == 200);
+    CHECK(back.substr(back.size() - 10) == "\r\n\r\nbooked");
+    CHECK(back.find("Content-Type: text/plain\r\n") != back.npos);
+    client.send(request("read"));
+    CHECK(server.message().find("GET /api?day=1") == 0);   // on the same connection
+    server.send(answer("x"));
+    CHECK(status(client.message()) == 200);
+    w.signal(SIGUSR1);
+    CHECK(w.logs("calls_taken=2 calls_fulfilled=2 "));
+    CHECK(w.logs("load_reports=1"));
+}
+
+TEST_CASE("a call is taken with its last byte, and the next one waits for its answer") {
+    World w;
+    auto client = w.client();
+    const auto text = request("book", "abc") + request("read");
+    const size_t last = request("book", "abc").size() - 1;
+    for (size_t i = 0; i < last; ++i) client.send(text.substr(i, 1));
+    CHECK_FALSE(w.servers[0].called(0.1));
+    client.send(text.substr(last));
+    auto server = w.servers[0].accept();
+    CHECK(server.message().find("POST") == 0);
+    CHECK_FALSE(server.ready(0.1));
+    server.send(answer("first"));
+    CHECK(server.message().find("GET") == 0);
+    server.send(answer("second"));
+    const auto one = client.message(), two = client.message();
+    CHECK(one.find("first") != one.npos);
+    CHECK(two.find("second") != two.npos);
+}
+
+TEST_CASE("what becomes of a shot that is not fulfilled") {
+    // `again`: whether a call gets another shot; `otherwise`: its answer where it gets none.
+    struct Case { const char* name; std::string reply; bool closes, read_again, book_again; };
+    const auto c = GENERATE_COPY(
+        Case{"turned away", answer("", "503 Full", "X-Not-Processed: 1\r\n"), false, true, true},
+        Case{"over", answer("", "504 Over", "X-Not-Processed: 1\r\n"), false, true, true},
+        Case{"503 alone", answer("", "503 Full"), false, true, false}, Case{"500", answer("", "500 No"), false, true, false},
+        Case{"429", answer("", "429 Slow down", "Retry-After: 1\r\n"), false, true, false},
+        Case{"no answer", "", true, true, false}, Case{"short", answer("long").substr(0, 40), true, true, false},
+        Case{"nonsense", "\x15\x03\x01 what?\r\n", false, true, false},
+        Case{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", false, true, false});
+    for (const std::string product : {"read", "book"}) {
+        INFO(c.name << ' ' << product);
+        World w;
+        auto client = w.client();
+        client.send(request(product));
+        auto server = w.servers[0].accept();
+        server.message();
+        server.send(c.reply);
+        if (c.closes) server.close();
+        const bool again = product == "read" ? c.read_again : c.book_again;
+        if (!again) {
+            CHECK(status(client.message()) == 502);   // promises nothing, and is no server's 429 or 503
+            continue;
+        }
+        if (!server.open() || !server.more(0.2)) server = w.servers[0].accept();
+        CHECK(server.message().find("X-Request-ID: 9b1f03aa") != std::string::npos);
+        server.send(answer("good"));
+        CHECK(status(client.message()) == 200);
+    }
+}
+
+TEST_CASE("a call that no server can be reached for has provably never run") {
+    struct Case { bool listens; const char* reason; };
+    const auto c = GENERATE(Case{false, "ended: refused"}, Case{true, "ended: connect_timed_out"});
+    World w(1, 0);
+    std::vector<Wire> crowd;   // fills the queue of a server that accepts nothing, so that no connection comes up
+    if (!c.listens) w.servers[0].close();
+    for (int i = 0; c.listens && i < 8; ++i) crowd.push_back(connect(w.servers[0].endpoint, SOCK_NONBLOCK));
+    auto client = w.client();
+    client.send(request("book"));
+    const auto back = client.message();
+    CHECK(status(back) == 429);
+    CHECK(back.find("Retry-After: 1.5\r\n") != back.npos);
+    CHECK(w.logs(c.reason));
+}
+
+TEST_CASE("silence is answered in the client's time, and nothing stays out") {
+    const std::string product = GENERATE("read", "book");
+    World w;
+    auto client = w.client();
+    const double sent = clock_now();
+    client.send(request(product, "", "1500000u"));
+    auto server = w.servers[0].accept();
+    server.message();
+    CHECK(status(client.message()) == (product == "read" ? 429 : 502));
+    CHECK(clock_now() - sent < 1.55);
+    CHECK(server.ends());
+}
+
+TEST_CASE("a client that leaves takes its shot with it") {
+    World w;
+    auto client = w.client();
+    client.send(request("book"));
+    auto server = w.servers[0].accept();
+    server.message();
+    if (GENERATE(true, false)) client.close();
+    else client.half_close();
+    CHECK(server.ends());
+    w.signal(SIGTERM);
+    CHECK(w.exit_status() == 0);
+    CHECK(w.logs("calls_left_by_client=1"));
+    CHECK(w.logs("shots_cancelled=1"));
+    CHECK(w.logs("calls_errored=0"));
+}
+
+TEST_CASE("an idle connection that the server has closed, or talked on, carries no call") {
+    World w;
+    auto client = w.client();
+    client.send(request("book"));
+    auto server = w.servers[0].accept();
+    server.message();
+    server.send(answer("x") + (GENERATE(true, false) ? "more than was asked" : ""));
+    CHECK(status(client.message()) == 200);
+    server.close();
+    client.send(request("book"));   // must not run twice, so it would not survive the old connection
+    auto next = w.servers[0].accept();
+    next.message();
+    next.send(answer("y"));
+    CHECK(status(client.message()) == 200);
+}
+
+TEST_CASE("the largest bodies pass, both ways, to and from peers that are slow") {
+    World w;
+    auto client = w.client();
+    const std::string body(64 * 1024, 'b');
+    client.send(request("book", body));
+    auto server = w.servers[0].accept();
+    wait(0.1);
+    const auto came = server.message();
+    CHECK(came.substr(came.size() - body.size()) == body);
+    for (size_t at = 0, all = answer(body).size(); at < all; at += 9000) server.send(answer(body).substr(at, 9000));
+    wait(0.1);
+    const auto back = client.message();
+    CHECK(status(back) == 200);
+    CHECK(back.size() > body.size());
+    client.send(request("book", body + "b"));
+    CHECK(status(client.message()) == 413);
+    CHECK(client.ends());
+}
+
+TEST_CASE("a bad request is answered and its connection closed, and others are served on") {
+    struct Case { std::string text; int status; };
+    const auto c = GENERATE_COPY(Case{"\x16\x03\x01\n", 400}, Case{"DELETE /api HTTP/1.1\r\n\r\n", 405},
+                                 Case{"GET /" + std::string(50000, 'x'), 431},
+                                 Case{"GET /api HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+                                 Case{"POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n" + request("read"), 400});
+    World w;
+    auto other = w.client(), bad = w.client();
+    bad.send(c.text);
+    CHECK(status(bad.message()) == c.status);
+    CHECK(bad.ends());
+    CHECK_FALSE(w.servers[0].called(0));
+    other.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(status(other.message()) == 200);
+    CHECK(w.logs("ended: bad_request"));
+}
+
+TEST_CASE("the list is followed") {
+    World w(4);
+    const auto at = [&](int i) { return w.servers[static_cast<size_t>(i)].endpoint; };
+    auto discovery = w.discovery.accept();
+    const auto asked_from = [&](const std::string& rev) {
+        return discovery.message().find("GET /discovery/hosts?from=" + rev + "&hold_ms=10000 ") == 0;
+    };
+    auto client = w.client();
+    // Where calls go, by the address that takes them; a connection once made may be used again.
+    std::vector<Wire> lines(4);
+    const auto goes_to = [&](int only) {
+        for (int n = 0; n < 6; ++n) {
+            client.send(request("read"));
+            auto& line = lines[static_cast<size_t>(only)];
+            if (!line.open() || !line.more(0.3)) line = w.servers[static_cast<size_t>(only)].accept();
+            if (line.message().empty()) return false;
+            line.send(answer("x"));
+            if (status(client.message()) != 200) return false;
+        }
+        return true;
+    };
+    CHECK(asked_from("5"));
+    discovery.send(answer(list(6, false, entry(0, at(0), "DRAINING") + "," + entry(2, at(2), "DELETED") + "," +
+                                             entry(3, "", "DELETED"))));
+    const double told = clock_now();
+    CHECK(asked_from("6"));
+    CHECK(clock_now() - told < 0.2);
+    CHECK(goes_to(1));
+    discovery.send(answer(list(7, false, entry(1, at(2)))));   // it has moved
+    CHECK(asked_from("7"));
+    CHECK(lines[1].ends());
+    CHECK(goes_to(2));
+    discovery.send(answer(list(8, true, entry(3, at(3)))));    // the others are gone
+    CHECK(asked_from("8"));
+    CHECK(goes_to(3));
+    for (const auto& trouble : {answer("", "503 Busy"), answer("<html>"), answer(list(9, true, "{}")), std::string("?\r\n")}) {
+        discovery.send(trouble);   // fails this call only
+        discovery = w.discovery.accept();
+        CHECK(asked_from("8"));
+    }
+    CHECK(goes_to(3));
+    discovery.send(answer(list(9, false, ""), "200 OK", "Connection: close\r\n"));
+    discovery = w.discovery.accept();
+    CHECK(asked_from("9"));
+    discovery.send(answer(list(10, false, "")));
+    CHECK(asked_from("10"));
+    const double closed = clock_now();
+    discovery.close();             // between two calls: no failure
+    discovery = w.discovery.accept();
+    CHECK(clock_now() - closed < 0.2);
+    CHECK(asked_from("10"));
+    CHECK(goes_to(3));
+}
+
+TEST_CASE("discovery that does not hold calls back is not asked without end") {
+    World w;
+    auto discovery = w.discovery.accept();
+    int asked = 0;
+    for (const double until = clock_now() + 1; clock_now() < until; ++asked) {
+        if (discovery.message().empty()) break;
+        discovery.send(answer(list(5, false, "")));
+    }
+    CHECK(asked >= 4);
+    CHECK(asked <= 12);
+}
+
+TEST_CASE("told to stop, it serves on while clients come, answers all and ends") {
+    World w(4);
+    auto idle = w.client(), busy = w.client();
+    idle.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(status(idle.message()) == 200);
+    const auto taken_by = [&] {
+        for (const double until = clock_now() + soon; clock_now() < until;)
+            for (auto& server : w.servers)
+                if (server.called(0.01)) return server.accept();
+        return Wire();
+    };
+    busy.send(request("book"));
+    auto slow = taken_by();
+    slow.message();
+    w.signal(SIGTERM);
+    wait(0.25);
+    auto late = w.client();
+    late.send(request("book"));
+    auto quick = taken_by();
+    quick.message();
+    quick.send(answer("late"));
+    CHECK(status(late.message()) == 200);
+    CHECK(late.ends());          // told to go on elsewhere
+    CHECK(idle.ends());
+    CHECK_FALSE(w.client().open());
+    wait(0.5);
+    slow.send(answer("slow"));
+    const auto back = busy.message();
+    CHECK(status(back) == 200);
+    CHECK(back.find("Connection: close\r\n") != back.npos);
+    busy.close();
+    CHECK(w.exit_status() == 0);
+}
+
+TEST_CASE("told to stop, it gives up what no server answers before it is killed") {
+    World w;
+    auto client = w.client();
+    client.send(request("book"));
+    auto server = w.servers[0].accept();
+    server.message();
+    w.signal(SIGTERM);
+    const double told = clock_now();
+    CHECK(status(client.message()) == 502);
+    CHECK(w.exit_status() == 0);
+    CHECK(clock_now() - told < 3.7);   // the longest client timeout counts 3 s at most, and 0.7 s more
+    CHECK(clock_now() - told > 3);
+}
+
+TEST_CASE("with few descriptors left, the connections that stand idle go first") {
+    World w;
+    auto client = w.client();
+    client.send(request("book"));
+    auto server = w.servers[0].accept();
+    server.message();
+    std::vector<Wire> crowd;
+    for (int i = 0; i < 150; ++i) {   // more than twice what it may hold
+        crowd.push_back(w.client());
+        crowd.back().send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+        CHECK(status(crowd.back().message()) == 200);
+    }
+    CHECK(crowd.front().ends());
+    CHECK(w.logs("ended: shed"));
+    server.send(answer("held on to"));
+    CHECK(status(client.message()) == 200);
+    client.send(request("book"));
+    server.message();
+    server.send(answer("still served"));
+    CHECK(status(client.message()) == 200);
+}
+
+TEST_CASE("bad configuration: one line that names the key") {
+    struct Case { const char *key, *from, *to; };
+    const auto c = GENERATE(
+        Case{"BALANCER_CONFIG", "{\"name\"", "[\"name\""}, Case{"listen", "\"listen\":\"127", "\"listen\":\"x127"},
+        Case{"discovery", "\"discovery\":", "\"discover\":"}, Case{"seed", "8c1f", "xyz"},
+        Case{"limits.sockets", "\"sockets\":64", "\"sockets\":3"}, Case{"limits.sockets", "\"sockets\":64", "\"sockets\":\"x\""},
+        Case{"limits.memory_mb", "\"memory_mb\":192", "\"memory_mb\":-1"}, Case{"known.uid", "\"uid\":\"s-0\"", "\"uid\":7"},
+        Case{"known.rev", "\"rev\":5,", ""}, Case{"settings", "\"settings\":", "\"set\":"},
+        Case{"Products.1.LatencySloS", "\"book\",\"BilledValue\":1,\"LatencySloS\":4", "\"book\",\"BilledValue\":1"},
+        Case{"Limits.MaxShots", "\"MaxShots\":3", "\"MaxShots\":2.5"}, Case{"Limits.Cancel", "\"Cancel\":true", "\"Cancel\":1"},
+        Case{"Limits.ConnectTimeoutS", "\"ConnectTimeoutS\":0.25", "\"ConnectTimeoutS\":0"},
+        Case{"log_level", "{\"name\"", "{\"log_level\":\"loud\",\"name\""});
+    auto text = config("127.0.0.1:5000", "127.0.0.1:8500", list(5, true, entry(0, "127.0.0.1:1")));
+    const auto at = text.find(c.from);
+    REQUIRE(at != text.npos);
+    text.replace(at, std::string(c.from).size(), c.to);
+    const auto unset = [](const char*) -> const char* { return nullptr; };
+    try {
+        myrtleroute::run::read_config(text, unset);
+        FAIL("accepted without " << c.key);
+    } catch (const myrtleroute::run::BadConfig& bad) {
+        const std::string line = bad.what();
+        CHECK(line.find(c.key) != line.npos);
+        CHECK(line.find('\n') == line.npos);
+    }
+    Misconfigured w(text);
+    CHECK(w.exit_status() == 1);
+    const auto log = w.log();
+    CHECK(std::count(log.begin(), log.end(), '\n') == 1);
+    CHECK(log.find(c.key) != log.npos);
+}
+
+TEST_CASE("configuration: nested settings are flattened, the environment wins, the rest has defaults") {
+    const auto text = config("127.0.0.1:5000", "127.0.0.1:8500", list(5, true, entry(0, "127.0.0.1:1")));
+    const auto c = myrtleroute::run::read_config(text, [](const char* name) -> const char* {
+        return std::string(name) == "BALANCER_LISTEN" ? "127.0.0.2:6000" : nullptr;
+    });
+    CHECK(ntohs(c.listen.sin_port) == 6000);
+    CHECK(ntohs(c.discovery.sin_port) == 8500);
+    CHECK(c.seed == 0x8c1f30d27a5be964ULL);
+    CHECK(c.sockets == 64);
+    CHECK(c.settings.products.at(1).name == "book");
+    CHECK(c.settings.zones == std::vector<std::string>{"north_hall", "yard"});
+    CHECK(c.settings.max_shots == 3);
+    CHECK(c.settings.connect_timeout.s == 0.25);
+    CHECK(c.log_level == myrtleroute::run::Level::info);
+}
