--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -151,7 +151,9 @@
 
 void Proxy::log(std::string_view line, ServerId about) {
     const auto* server = about ? s_.servers.find(about) : nullptr;
-    s_.log.info() << line << (server ? " " + server->uid + " at " + server->endpoint : "");
+    auto out = s_.log.info();
+    out << line;
+    if (server) out << ' ' << server->uid << " at " << server->endpoint;
 }
 
 }  // namespace myrtleroute::run
