--- a/example/toy_servers.cpp
+++ b/example/toy_servers.cpp
@@ -2,8 +2,8 @@
 //
 //     toy_servers [SERVER=MODE ...]    for example: toy_servers s-2=failing s-3=hung
 //
-// A server answers with its name after 50 ms. Modes: failing answers 500, full turns away what has not run, hung
-// answers nothing, draining serves but is listed as DRAINING, gone is listed though nothing listens there.
+// A server answers with its name after 50 ms. Modes: failing answers 500, full turns away what has not run,
+// hung answers nothing, draining is listed as DRAINING, gone is listed though nothing listens there.
 #include <sys/socket.h>
 
 #include <iostream>
@@ -15,7 +15,7 @@
 #include "run/loop.hpp"
 #include "wire/endpoint.hpp"
 #include "wire/http.hpp"
-#include "wire/request.hpp"
+#include "wire/ask.hpp"
 
 using namespace myrtleroute;
 using memory::Connection;
@@ -37,7 +37,7 @@
 
 struct Peer : Connection {
     Peer(memory::Owner& by, int fd)
-        : Connection(by, fd, 16 * 1024, 128 * 1024), http(wire::HttpMachine::Side::request, asked) {}
+        : Connection(by, fd, 16 * 1024, 128 * 1024), http(wire::HttpMachine::Side::ask, asked) {}
     std::string name() const override { return "caller"; }
     Asked asked;
     wire::HttpMachine http;
@@ -66,7 +66,7 @@
         if (c.ended) return loop_.end(c, Why::peer_closed);
         while (!c.in.empty() && !peer.http.done() && !peer.http.fault())
             c.in.drop(peer.http.feed(c.in.front()));
-        if (peer.http.fault()) return loop_.end(c, Why::bad_request);
+        if (peer.http.fault()) return loop_.end(c, Why::bad_call);
         if (!peer.http.done() || !peer.reply.empty()) return;
         if (const Span after = answer(peer.asked.target, peer.reply); !peer.reply.empty())
             loop_.set(c, loop_.now() + after);
@@ -97,7 +97,8 @@
         if (mode_ == "hung") return {};
         std::cout << name_ << " is asked for " << target << std::endl;
         if (mode_ == "full") reply = wire::answer(503, "", true, "X-Not-Processed: 1\r\n");
-        else reply = wire::answer(mode_ == "failing" && target != "/alive" ? 500 : 200, "from " + name_ + "\n", true);
+        else if (mode_ == "failing" && target != "/alive") reply = wire::answer(500, "", true);
+        else reply = wire::answer(200, "from " + name_ + "\n", true);
         return work;
     }
     std::string name_, mode_;
@@ -110,7 +111,7 @@
 
 private:
     Span answer(const std::string& target, std::string& reply) override {
-        const bool watch = target.find("from=1&") != target.npos;   // it has the list, and nothing changes here
+        const bool watch = target.find("from=1&") != target.npos;   // it has the list, which never changes
         reply = wire::answer(200, watch ? R"({"rev":1,"all":false,"targets":[]})"
                                         : R"({"rev":1,"all":true,"targets":[)" + targets_ + "]}", true);
         return watch ? hold * 0.25 : Span{};
@@ -134,10 +135,13 @@
         for (const char number : {'1', '2', '3'}) {
             const auto name = std::string("s-") + number, endpoint = std::string("127.0.0.1:510") + number;
             const auto mode = modes[name];
-            if (mode != "gone") services.push_back(std::make_unique<ToyServer>(loop, endpoint, name, mode));
-            targets += (targets.empty() ? "" : ",") + (R"({"uid":")" + name + R"(","endpoint":")" + endpoint) +
-                       R"(","az":"north hall","model":"toy","pod_group":0,"state":")" +
-                       (mode == "draining" ? "DRAINING" : "SERVING") + R"(","capacity_hint":1.0,"boot_ms":0})";
+            if (mode != "gone")
+                services.push_back(std::make_unique<ToyServer>(loop, endpoint, name, mode));
+            if (!targets.empty()) targets += ',';
+            targets += R"({"uid":")" + name + R"(","endpoint":")" + endpoint;
+            targets += R"(","az":"north hall","model":"toy","pod_group":0,"state":")";
+            targets += mode == "draining" ? "DRAINING" : "SERVING";
+            targets += R"(","capacity_hint":1.0,"boot_ms":0})";
         }
         services.push_back(std::make_unique<ToyDiscovery>(loop, "127.0.0.1:8500", targets));
         for (;;) loop.round([](uint64_t) {}, [] {});
--- a/src/memory/connection.hpp
+++ b/src/memory/connection.hpp
@@ -10,16 +10,25 @@
 namespace myrtleroute::memory {
 
 // Why a connection ended, as its log line says.
-enum class Why { peer_closed, peer_reset, refused, connect_timed_out, answer_timed_out, request_timed_out,
-                 unread, cancelled, bad_request, bad_answer, told_to_close, idle, silent, shed, server_left,
-                 stopping, failed };
+#define MYRTLEROUTE_ENDS(X)                                                                                  \
+    X(peer_closed) X(peer_reset) X(nobody_listens) X(connect_timed_out) X(answer_timed_out)                  \
+    X(call_unfinished) X(unread) X(cancelled) X(bad_call) X(bad_answer) X(told_to_close) X(idle) X(silent)   \
+    X(shed) X(server_left) X(stopping) X(no_list)
+
+enum class Why {
+#define X(name) name,
+    MYRTLEROUTE_ENDS(X)
+#undef X
+};
 constexpr const char* code(Why why) {
-    constexpr const char* codes[] = {"peer_closed", "peer_reset", "refused", "connect_timed_out",
-                                     "answer_timed_out", "request_timed_out", "unread", "cancelled",
-                                     "bad_request", "bad_answer", "told_to_close", "idle", "silent",
-                                     "shed", "server_left", "stopping", "failed"};
+    constexpr const char* codes[] = {
+#define X(name) #name,
+        MYRTLEROUTE_ENDS(X)
+#undef X
+    };
     return codes[static_cast<int>(why)];
 }
+#undef MYRTLEROUTE_ENDS
 
 struct Connection;
 
--- a/src/memory/counters.hpp
+++ b/src/memory/counters.hpp
@@ -8,7 +8,7 @@
 
 #define MYRTLEROUTE_COUNTERS(X)                                                                              \
     X(calls_taken) X(calls_fulfilled) X(calls_rate_limited) X(calls_errored) X(calls_left_by_client)         \
-    X(calls_turned_away_full) X(requests_refused_as_bad) X(shots_sent) X(shots_fulfilled) X(shots_errored)   \
+    X(calls_turned_away_full) X(calls_malformed) X(shots_sent) X(shots_fulfilled) X(shots_errored)   \
     X(shots_full) X(shots_timed_out) X(shots_connect_failed) X(shots_reset) X(shots_cancelled)               \
     X(shots_never_sent) X(probes_sent) X(probes_answered) X(connections_from_clients)                        \
     X(connections_to_servers) X(connections_shed) X(lists_told) X(lists_failed) X(load_reports)              \
--- a/src/memory/timers.hpp
+++ b/src/memory/timers.hpp
@@ -1,4 +1,4 @@
-// Timers that objects own: a heap of them, in which each knows its place, so that it can be moved or taken out.
+// Timers that objects own: a heap in which each knows its place, so that it can be moved or taken out.
 #pragma once
 #include <utility>
 #include <vector>
--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -15,7 +15,7 @@
 
 constexpr size_t most_in = 16 * 1024, most_out = wire::most_body + 4096;
 constexpr Span accept_again{0.01};
-constexpr Span read_within{10};   // a request whole, once begun; an answer, once written
+constexpr Span read_within{10};   // a call whole, once begun; an answer, once written
 constexpr Span linger{1};         // for the other end to close after our last answer
 
 }  // namespace
@@ -28,9 +28,9 @@
 struct Clients::Client : Connection {
     Client(Owner& by, int fd, const Settings& settings)
         : Connection(by, fd, most_in, most_out), reader(settings),
-          http(wire::HttpMachine::Side::request, reader) {}
+          http(wire::HttpMachine::Side::ask, reader) {}
     std::string name() const override { return "client"; }
-    wire::RequestReader reader;
+    wire::AskReader reader;
     wire::HttpMachine http;
     memory::Held* call = nullptr;
     bool last = false;           // to be ended once all is written
@@ -80,7 +80,7 @@
 }
 
 void Clients::read(Client& c) {
-    // One request at a time, and no answer is given before the last one is written.
+    // One call at a time, and no answer is given before the last one is written.
     while (c.open() && !c.call && !c.last && c.out.empty() && !c.in.empty()) {
         if (c.idle) {
             idle_.erase(c.place);
@@ -89,9 +89,9 @@
         if (!c.http.begun()) s_.loop.set(c, s_.loop.now() + read_within);
         c.in.drop(c.http.feed(c.in.front()));
         if (c.http.fault()) {
-            s_.counters.add(Count::requests_refused_as_bad);
+            s_.counters.add(Count::calls_malformed);
             c.last = true;
-            c.why = Why::bad_request;
+            c.why = Why::bad_call;
             say(c, c.http.fault(), "");
         } else if (c.http.done()) {
             s_.loop.clear(c);
@@ -193,9 +193,9 @@
     auto& c = static_cast<Client&>(connection);
     if (c.lingers) return end(c, c.why);
     if (!c.out.empty()) return end(c, Why::unread);
-    s_.counters.add(Count::requests_refused_as_bad);
+    s_.counters.add(Count::calls_malformed);
     c.last = true;
-    c.why = Why::request_timed_out;
+    c.why = Why::call_unfinished;
     say(c, 408, "");
 }
 
@@ -228,7 +228,7 @@
     accept();
     s_.loop.end(*listener_, Why::stopping);
     listener_ = nullptr;
-    // One on which a request has just come is read, answered and then ended.
+    // One on which a call has just come is read, answered and then ended.
     const auto idle = idle_;
     for (auto* c : idle)
         if (still_quiet(c->fd)) end(*c, Why::stopping);
--- a/src/run/clients.hpp
+++ b/src/run/clients.hpp
@@ -5,7 +5,7 @@
 #include <list>
 
 #include "run/shared.hpp"
-#include "wire/request.hpp"
+#include "wire/ask.hpp"
 
 namespace myrtleroute::run {
 
@@ -16,7 +16,7 @@
     void ready() { ready_ = true; }                  // GET /up may answer 200
     void give(memory::Held& call, int status, std::string_view body, std::string_view fields = {});
     bool shed();                                     // ends the connection that has stood idle longest
-    void settle();                                   // goes on with requests that wait behind an answer
+    void settle();                                   // goes on with calls that wait behind an answer
     void last_ones();                                // takes what has come, listens no more, ends idle ones
     bool over() const { return open_ == 0; }
     void on_full(std::function<bool()> make_room) { make_room_ = std::move(make_room); }
--- a/src/run/config.cpp
+++ b/src/run/config.cpp
@@ -103,7 +103,8 @@
         const auto said = text(key, nullptr, otherwise);
         const auto n = wire::decimal(said);
         if (!n || *n < static_cast<double>(least) || *n > static_cast<double>(most))
-            bad(key, "must lie between " + std::to_string(least) + " and " + std::to_string(most) + ": " + said);
+            bad(key, "must lie between " + std::to_string(least) + " and " + std::to_string(most) +
+                         ": " + said);
         return static_cast<size_t>(*n);
     }
 
--- a/src/run/log.hpp
+++ b/src/run/log.hpp
@@ -27,8 +27,8 @@
     public:
         Line(std::ostream* out, Level level) : out_(out) {
             if (!out_) return;
-            const auto now = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch());
-            text_ << std::fixed << std::setprecision(3) << now.count() << ' '
+            const auto now = std::chrono::system_clock::now().time_since_epoch();
+            text_ << std::fixed << std::setprecision(3) << std::chrono::duration<double>(now).count() << ' '
                   << level_names[static_cast<int>(level)] << ' ';
             text_.unsetf(std::ios::fixed);
         }
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -159,7 +159,8 @@
     const int fd = socket_of_ours(), on = 1;
     if (fd < 0) return fd;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 && ::listen(fd, 1024) == 0) return fd;
+    const auto* address = reinterpret_cast<const sockaddr*>(&at);
+    if (::bind(fd, address, sizeof at) == 0 && ::listen(fd, 1024) == 0) return fd;
     const int error = errno;
     ::close(fd);
     errno = error;
--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -89,7 +89,8 @@
     line.until = line.sent + try_for;
     line.out.push(head);
     line.out.push("X-Timeout: " + std::to_string(static_cast<long long>(try_for.s * 1e6)) + "u\r\n");
-    if (!body.empty() || head.front() == 'P') line.out.push("Content-Length: " + std::to_string(body.size()) + "\r\n");
+    if (!body.empty() || head.front() == 'P')
+        line.out.push("Content-Length: " + std::to_string(body.size()) + "\r\n");
     line.out.push("\r\n");
     line.out.push(body);
     const auto up_by = s_.loop.now() + s_.settings().connect_timeout;
@@ -129,10 +130,12 @@
         line.in.drop(line.http.feed(line.in.front()));
     if (line.ended && !line.http.done()) line.http.closed();
     if (line.http.done() && line.out.empty()) return done(line);
-    // Broken before the last byte of the request was written, it can't have run.
+    // Broken before the last byte of the call was written, it can't have run.
     const auto outcome = line.out.empty() ? Outcome::reset : Outcome::connect_failed;
-    if (line.http.done() && line.reader.outcome() == Outcome::full) ends(line, Outcome::full, Why::told_to_close);
-    else if (line.http.done() || line.http.fault()) ends(line, outcome, line.ended ? Why::peer_closed : Why::bad_answer);
+    if (line.http.done() && line.reader.outcome() == Outcome::full)
+        ends(line, Outcome::full, Why::told_to_close);
+    else if (line.http.done() || line.http.fault())
+        ends(line, outcome, line.ended ? Why::peer_closed : Why::bad_answer);
     else if (line.ended) ends(line, outcome, Why::peer_closed);
 }
 
@@ -216,7 +219,7 @@
     }
     const bool up = !line.connecting;
     ends(line, up && line.out.empty() ? Outcome::reset : Outcome::connect_failed,
-         error == ECONNREFUSED ? Why::refused : Why::peer_reset);
+         error == ECONNREFUSED ? Why::nobody_listens : Why::peer_reset);
 }
 
 void Servers::due(Connection& connection) {
@@ -229,12 +232,13 @@
     } else if (s_.loop.now() < line.until) {
         s_.loop.set(line, line.until);   // it came up in time
     } else {
-        timed_out(line, line.out.empty() ? Outcome::timed_out : Outcome::connect_failed, Why::answer_timed_out);
+        const auto outcome = line.out.empty() ? Outcome::timed_out : Outcome::connect_failed;
+        timed_out(line, outcome, Why::answer_timed_out);
     }
 }
 
-// Guards against calls lost on dead connections: a machine that was cut off says nothing, and what stands idle
-// to it is reset when it is back, one after another, with a call on each.
+// Guards against calls lost on dead connections: a machine that was cut off says nothing, and what stands
+// idle to it is reset when it is back, one after another, with a call on each.
 void Servers::timed_out(Line& line, Outcome outcome, Why why) {
     if (line.server->heard < line.sent) close_idle(*line.server, Why::silent);
     ends(line, outcome, why);
--- a/src/run/shared.hpp
+++ b/src/run/shared.hpp
@@ -34,7 +34,7 @@
     // Descriptors: what is open without being a connection, and a few in hand.
     static constexpr size_t kept_back = 8;
     size_t most_connections() const {
-        // A call at its largest holds a request and an answer, and both are bounded.
+        // A call at its largest holds a body and an answer, and both are bounded.
         const size_t by_memory = config.memory_mb * (1 << 20) / 2 / (3 * wire::most_body / 2);
         return std::min(std::max(config.sockets, 2 * kept_back) - kept_back, 2 * by_memory);
     }
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -58,10 +58,11 @@
     }
     // Held no longer than the time within which a balancer that does not watch has to ask.
     const Span ask_within = s_.settings().ask_within;
-    const Span hold = has_rev_ ? std::min(most_hold, ask_within > Span{} ? ask_within : most_hold) : Span{};
+    const Span longest = ask_within > Span{} ? std::min(most_hold, ask_within) : most_hold;
+    const Span hold = has_rev_ ? longest : Span{};
+    const auto hold_ms = std::to_string(static_cast<int>(hold.s * 1000));
     std::string target = "/discovery/hosts";
-    if (has_rev_)
-        target += "?from=" + std::to_string(rev_) + "&hold_ms=" + std::to_string(static_cast<int>(hold.s * 1000));
+    if (has_rev_) target += "?from=" + std::to_string(rev_) + "&hold_ms=" + hold_ms;
     call_->out.push("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
     call_->asked = s_.loop.now();
     call_->rests = false;
@@ -77,7 +78,7 @@
         if (c.http.fault() || c.ended) failed(c.ended ? Why::peer_closed : Why::bad_answer);
         return;
     }
-    if (c.reader.status != 200) return failed(Why::failed);
+    if (c.reader.status != 200) return failed(Why::no_list);
     const auto rev = rev_;
     if (!wire::tell_list(c.reader.text, *this, rev_)) return failed(Why::bad_answer);
     const bool nothing_new = has_rev_ && rev == rev_;
@@ -97,7 +98,7 @@
     ask();   // at once, so that the watch goes on
 }
 
-void Watcher::broke(Connection& c, int) { failed(c.connecting ? Why::refused : Why::peer_reset); }
+void Watcher::broke(Connection& c, int) { failed(c.connecting ? Why::nobody_listens : Why::peer_reset); }
 
 void Watcher::due(Connection&) {
     if (call_->rests) ask();
--- a/src/wire/request.cpp
+++ b/src/wire/ask.cpp
@@ -1,6 +1,7 @@
-#include "wire/request.hpp"
+#include "wire/ask.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "wire/text.hpp"
 
@@ -14,21 +15,22 @@
     return {*n * (unit == 'm' ? 1e-3 : 1e-6)};
 }
 
-void RequestReader::next() {
+void AskReader::next() {
     ask_ = {};
     up_ = host_ = false;
 }
 
-int RequestReader::start(std::string_view method, std::string_view target, std::string_view) {
+int AskReader::start(std::string_view method, std::string_view target, std::string_view) {
     if (method != "GET" && method != "POST") return 405;
     up_ = method == "GET" && target == "/up";
     ask_.head.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
     return 0;
 }
 
-int RequestReader::field(std::string_view name, std::string_view value) {
-    static constexpr std::string_view own[] = {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
-                                               "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
+int AskReader::field(std::string_view name, std::string_view value) {
+    static constexpr std::string_view own[] = {
+        "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+        "Content-Length", "Expect"};   // of this connection alone
     if (std::any_of(std::begin(own), std::end(own), [&](auto o) { return same(name, o); })) return 0;
     if (same(name, "Host")) host_ = true;
     if (same(name, "X-Timeout")) {
@@ -50,7 +52,7 @@
     return 0;
 }
 
-int RequestReader::head_ends() {
+int AskReader::head_ends() {
     if (up_) return 0;
     if (!host_) ask_.head.append("Host: api\r\n");   // an older client's, which need not say
     if (!ask_.has_id || ask_.product < 0) return 400;
@@ -59,11 +61,14 @@
 }
 
 std::string answer(int status, std::string_view body, bool keep, std::string_view more) {
-    const char* reason = status == 200 ? "OK" : status == 400 ? "Bad Request" : status == 405 ? "Method Not Allowed"
-                         : status == 408 ? "Request Timeout" : status == 413 ? "Content Too Large"
-                         : status == 417 ? "Expectation Failed" : status == 429 ? "Too Many Requests"
-                         : status == 431 ? "Request Header Fields Too Large" : status == 502 ? "Bad Gateway"
-                         : status == 503 ? "Service Unavailable" : "Error";
+    std::string_view reason = "Error";
+    for (const auto& [known, phrase] : {std::pair{200, "OK"}, {400, "Bad Request"},
+                                        {405, "Method Not Allowed"},
+                                        {408, "Request Timeout"}, {413, "Content Too Large"},
+                                        {417, "Expectation Failed"}, {429, "Too Many Requests"},
+                                        {431, "Request Header Fields Too Large"}, {502, "Bad Gateway"},
+                                        {503, "Service Unavailable"}})
+        if (known == status) reason = phrase;
     std::string text = "HTTP/1.1 ";
     text.append(std::to_string(status)).append(" ").append(reason).append("\r\nContent-Length: ");
     text.append(std::to_string(body.size())).append("\r\n");
--- a/src/wire/request.hpp
+++ b/src/wire/ask.hpp
@@ -1,4 +1,4 @@
-// Reads a client's request straight into the API call that it asks for, and words the answers to clients.
+// Reads what a client asks for straight into its API call, and words the answers to clients.
 #pragma once
 #include <string>
 #include <string_view>
@@ -9,10 +9,10 @@
 
 namespace myrtleroute::wire {
 
-class RequestReader : public HttpReader {
+class AskReader : public HttpReader {
 public:
-    explicit RequestReader(const Settings& settings) : settings_(&settings) {}
-    void next();                                  // for the next request of the connection
+    explicit AskReader(const Settings& settings) : settings_(&settings) {}
+    void next();                                  // for the next one of the connection
     bool asks_if_up() const { return up_; }       // GET /up
     memory::Ask& ask() { return ask_; }
 
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -72,7 +72,7 @@
 void HttpMachine::line(std::string_view text) {
     switch (state_) {
         case State::start:
-            if (text.empty() && side_ == Side::request && head_ == 2) return;   // one is allowed before it
+            if (text.empty() && side_ == Side::ask && head_ == 2) return;   // one is allowed before it
             return start_line(text);
         case State::fields: return text.empty() ? head_ends() : field_line(text);
         case State::chunk_size: return chunk_size(text);
@@ -95,11 +95,11 @@
     if (two == text.npos) return fail(400);
     const auto first = text.substr(0, one), second = text.substr(one + 1, two - one - 1);
     const auto third = two < text.size() ? text.substr(two + 1) : std::string_view{};
-    const auto version = side_ == Side::request ? third : first;
+    const auto version = side_ == Side::ask ? third : first;
     if (version != "HTTP/1.1" && version != "HTTP/1.0") return fail(400);
     old_ = version == "HTTP/1.0";
     keeps_ = !old_;
-    if (side_ == Side::request) {
+    if (side_ == Side::ask) {
         if (!token(first) || second.empty() || second.front() != '/' || !visible(second, false))
             return fail(400);
     } else {
@@ -132,7 +132,7 @@
         }
     } else if (same(name, "Host")) {
         ++hosts_;
-    } else if (same(name, "Expect") && side_ == Side::request) {
+    } else if (same(name, "Expect") && side_ == Side::ask) {
         if (!same(value, "100-continue")) return fail(417);
         continue_ = true;
     }
@@ -140,7 +140,7 @@
 }
 
 void HttpMachine::head_ends() {
-    if (side_ == Side::request && hosts_ != 1 && !(old_ && hosts_ == 0)) return fail(400);
+    if (side_ == Side::ask && hosts_ != 1 && !(old_ && hosts_ == 0)) return fail(400);
     // Two lengths, or one that an older parser would not see: where the message ends is anyone's guess.
     if (chunked_ && (has_length_ || old_)) return fail(400);
     if (side_ == Side::answer && status_ < 200) {
@@ -155,7 +155,7 @@
     const bool bare = side_ == Side::answer && (status_ == 204 || status_ == 304);
     if (bare) state_ = State::done;
     else if (chunked_) state_ = State::chunk_size;
-    else if (has_length_ || side_ == Side::request) state_ = left_ ? State::body : State::done;
+    else if (has_length_ || side_ == Side::ask) state_ = left_ ? State::body : State::done;
     else state_ = State::until_closed;
     if (state_ == State::until_closed) keeps_ = false;
 }
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -12,7 +12,7 @@
 class HttpReader {
 public:
     virtual ~HttpReader() = default;
-    // method, target and version of a request; version, status and reason of an answer
+    // method, target and version; of an answer: version, status and reason
     virtual int start(std::string_view first, std::string_view second, std::string_view third) = 0;
     virtual int field(std::string_view name, std::string_view value) = 0;
     virtual int head_ends() { return 0; }
@@ -21,7 +21,7 @@
 
 class HttpMachine {
 public:
-    enum class Side { request, answer };
+    enum class Side { ask, answer };
     HttpMachine(Side side, HttpReader& reader, size_t most_body = wire::most_body)
         : side_(side), reader_(&reader), most_body_(most_body) {}
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -313,7 +313,7 @@
 
 TEST_CASE("a call that no server can be reached for has provably never run") {
     struct Case { bool listens; const char* reason; };
-    const auto c = GENERATE(Case{false, "ended: refused"}, Case{true, "ended: connect_timed_out"});
+    const auto c = GENERATE(Case{false, "ended: nobody_listens"}, Case{true, "ended: connect_timed_out"});
     World w(1, 0);
     std::vector<Wire> crowd;   // fills the queue of a server that accepts nothing, so that no connection comes up
     if (!c.listens) w.servers[0].close();
@@ -431,7 +431,7 @@
     CHECK_FALSE(w.servers[0].called(0));
     other.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
     CHECK(status(other.message()) == 200);
-    CHECK(w.logs("ended: bad_request"));
+    CHECK(w.logs("ended: bad_call"));
 }
 
 TEST_CASE("the list is followed") {
--- a/tests/wire_machines_test.cpp
+++ b/tests/wire_machines_test.cpp
@@ -9,7 +9,7 @@
 #include "wire/json.hpp"
 #include "wire/load_report.hpp"
 #include "wire/reply.hpp"
-#include "wire/request.hpp"
+#include "wire/ask.hpp"
 
 using namespace myrtleroute;
 using namespace myrtleroute::wire;
@@ -52,8 +52,8 @@
         Case{"GET / HTTP/1.0\r\n" + id + product + "\r\n", "GET / HTTP/1.1\r\n" + id + product + "Host: api\r\n",
              "", 0, 4});
     for (const size_t step : {size_t{1}, size_t{2}, size_t{7}, c.text.size()}) {
-        RequestReader reader(settings());
-        HttpMachine machine(Side::request, reader);
+        AskReader reader(settings());
+        HttpMachine machine(Side::ask, reader);
         CHECK_FALSE(machine.begun());
         CHECK(feed(machine, c.text.substr(0, c.text.size() - 1), step).empty());
         CHECK_FALSE(machine.done());   // not before its last byte
@@ -97,16 +97,16 @@
         Case{"GET /api HTTP/1.1\r\n" + host + product + "X-Request-ID:\r\n", 400},
         Case{"GET /api HTTP/1.1\r\n" + host + product + "\r\n", 400});
     for (const size_t step : {size_t{1}, c.text.size()}) {
-        RequestReader reader(settings());
-        HttpMachine machine(Side::request, reader);
+        AskReader reader(settings());
+        HttpMachine machine(Side::ask, reader);
         feed(machine, c.text, step);
         CHECK(machine.fault() == c.status);
         CHECK_FALSE(machine.done());
     }
     std::string many = get;   // each line is short, but there is no end of them
     while (many.size() < 40000) many += "A: b\r\n";
-    RequestReader reader(settings());
-    HttpMachine machine(Side::request, reader);
+    AskReader reader(settings());
+    HttpMachine machine(Side::ask, reader);
     feed(machine, many, 4096);
     CHECK(machine.fault() == 431);
 }
@@ -157,8 +157,8 @@
 }
 
 TEST_CASE("a machine goes on with the next message of its connection") {
-    RequestReader reader(settings());
-    HttpMachine machine(Side::request, reader);
+    AskReader reader(settings());
+    HttpMachine machine(Side::ask, reader);
     std::string bytes = "POST /1 HTTP/1.1\r\n" + fields + "Content-Length: 2\r\n\r\nabGET /2 HTTP/1.1\r\n" + fields +
                         "Connection: close\r\n\r\n";
     bytes = feed(machine, bytes, bytes.size());
