Settle until nothing is left over, so that no call waits behind an answer for the next wake

Seen in reading: an answer given while the servers' side settles last can put a client with a further call into the queue, and poll(2) then sleeps, 250 ms at most. Ruled out by a case of calls sent one behind the other to a server that refuses: it passes before and after on this system, where refused connects come back through poll; the order of calls in Proxy::settle made it possible elsewhere.

With it: connections that are open at the end leave their line, calls given up at the end are counted, lists are logged, and clients that linger don't hold up a restart.

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -151,7 +151,7 @@
         ::shutdown(c.fd, SHUT_WR);
         c.lingers = true;
         c.in.drop(c.in.size());
-        s_.loop.set(c, s_.loop.now() + linger);
+        s_.loop.set(c, s_.loop.now() + (stopping_ ? linger * 0.2 : linger));
     } else if (!c.in.empty()) {
         wait(c);
     } else if (!c.idle) {
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -54,6 +54,10 @@
     connections_.pop_back();
 }
 
+void Loop::end_all(memory::Why why) {
+    while (!connections_.empty()) end(*connections_.back(), why);
+}
+
 void Loop::flush(Connection& c) {
     while (c.open() && !c.connecting && !c.out.empty()) {
         auto parts = c.out.held_parts();
--- a/src/run/loop.hpp
+++ b/src/run/loop.hpp
@@ -30,6 +30,7 @@
     void flush(memory::Connection& c);                     // writes what it can; the rest when it may
     void listen_to(memory::Connection& c, bool on);
     void end(memory::Connection& c, memory::Why why);      // closes it, with its log line
+    void end_all(memory::Why why);
     void set(memory::Connection& c, Time at) { timers_.set(c, at); }
     void clear(memory::Connection& c) { timers_.clear(c); }
     void wake(Time at, uint64_t cookie) { wakes_.push({at, next_wake_++, cookie}); }
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -102,17 +102,19 @@
 }
 
 void Proxy::settle() {
-    servers_.settle();
-    watcher_.settle();
-    clients_.settle();
-    servers_.settle();
+    do {
+        servers_.settle();
+        watcher_.settle();
+        clients_.settle();
+    } while (!servers_.settled());
 }
 
 // What can't be waited for any longer gets its answer all the same.
 void Proxy::last_answers() {
     s_.calls.each([this](memory::Held& call) {
-        if (call.client) clients_.give(call, 502, "");
+        if (call.client) error(call.id);
     });
+    s_.loop.end_all(memory::Why::stopping);
 }
 
 void Proxy::send(CallId id, ServerId server, Span try_for) {
--- a/src/run/servers.hpp
+++ b/src/run/servers.hpp
@@ -39,6 +39,7 @@
     void close_idle(memory::Server& server, memory::Why why);
     bool shed();
     void settle();    // tells the decisions what ended inside of their own actions
+    bool settled() const { return ended_.empty(); }
 
     void came(memory::Connection& c) override;
     void broke(memory::Connection& c, int error) override;
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -125,6 +125,7 @@
 
 void Watcher::list_starts(bool whole) {
     ++lists_;
+    entries_ = 0;
     whole_ = whole;
     s_.balancer->list_starts(s_.loop.now(), whole, cached_);
 }
@@ -143,6 +144,7 @@
     const Time launched = boot_ms > 0 ? Time{boot_ms / 1000 - clocks_apart_} : long_ago;
     s_.balancer->lists(server.id, zone_number(zone), cell, is, size, launched);
     has_list_ = true;
+    ++entries_;
 }
 
 void Watcher::list_ends() {
@@ -151,6 +153,7 @@
             if (server.listed_in != lists_) servers_.close_idle(server, Why::server_left);
         });
     if (!cached_) s_.counters.add(Count::lists_told);
+    if (entries_) s_.log.info() << (whole_ ? "whole list, servers: " : "list changes, servers: ") << entries_;
     s_.balancer->list_ends();
 }
 
--- a/src/run/watcher.hpp
+++ b/src/run/watcher.hpp
@@ -37,7 +37,7 @@
     std::string body_;
     std::vector<std::string> zones_;
     double clocks_apart_;            // seconds from this machine's steady clock to Unix time
-    uint64_t rev_ = 0, lists_ = 0;
+    uint64_t rev_ = 0, lists_ = 0, entries_ = 0;
     bool has_rev_ = false, has_list_ = false, cached_ = false, whole_ = false, wanted_ = false;
 };
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -326,6 +326,16 @@
     CHECK(w.logs(c.reason));
 }
 
+TEST_CASE("calls sent one behind the other are all answered at once where no server can be reached") {
+    World w;
+    w.servers[0].close();
+    auto client = w.client();
+    const double sent = clock_now();
+    client.send(request("book") + request("read") + request("book") + request("read"));
+    for (int i = 0; i < 4; ++i) CHECK(status(client.message()) == 429);
+    CHECK(clock_now() - sent < 0.2);   // less than until the decisions wake by themselves
+}
+
 TEST_CASE("silence is answered in the client's time, and nothing stays out") {
     const std::string product = GENERATE("read", "book");
     World w;
