At a stop keep connections used lately for half a second more

Clients::last_ones now closes those idle for half a second, the others when they have been. The SIGTERM case calls on such a connection and fails without it.

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 namespace myrtleroute::run {
 
@@ -195,6 +196,10 @@
         return;
     }
     auto& c = static_cast<Client&>(connection);
+    if (c.idle) {
+        if (still_quiet(c.fd)) end(c, Why::stopping);
+        return;
+    }
     if (c.lingers) return end(c, c.why);
     if (!c.out.empty()) return end(c, Why::unread);
     s_.counters.add(Count::calls_malformed);
@@ -205,8 +210,7 @@
 
 void Clients::end(Client& c, Why why) {
     if (!c.open()) return;
-    if (c.idle) idle_.erase(c.place);
-    c.idle = false;
+    if (std::exchange(c.idle, false)) idle_.erase(c.place);
     if (c.waits) std::erase(waiting_, &c);
     c.waits = false;
     auto* call = std::exchange(c.call, nullptr);
@@ -238,10 +242,11 @@
     accept();
     s_.loop.end(*listener_, Why::stopping);
     listener_ = nullptr;
-    // One on which a call has just come is read, answered and then ended.
+    // One used lately may have a call on its way; that is still answered, and ends the connection.
     const auto idle = idle_;
     for (auto* c : idle)
-        if (still_quiet(c->fd)) end(*c, Why::stopping);
+        if (s_.loop.now() - c->idle_since < settles) s_.loop.set(*c, c->idle_since + settles);
+        else due(*c);
 }
 
 }  // namespace myrtleroute::run
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -536,7 +536,12 @@
     quick.message();
     quick.send(answer("late"));
     CHECK(status(late.message()) == 200);
-    CHECK(late.ends());          // told to go on elsewhere
+    wait(0.3);
+    late.send(request("book"));   // after the last new connection, on one used just before
+    quick.message();
+    quick.send(answer("later"));
+    CHECK(late.message().find("Connection: close\r\n") != std::string::npos);
+    CHECK(late.ends());
     CHECK(idle.ends());
     CHECK_FALSE(w.client().open());
     wait(0.5);
