Give each run of the tests an address of its own

Seen: one case in 61 failed to bind while others ran beside it. Cause: addresses were made of the process id modulo 254, so two of 256 neighbouring ids shared one.

--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -29,7 +29,7 @@
     static int next = 20000;
     const int pid = ::getpid();
     return "127." + std::to_string(100 + (pid >> 16) % 100) + "." + std::to_string(pid >> 8 & 255) + "." +
-           std::to_string(1 + (pid & 255) % 254) + ":" + std::to_string(next++);
+           std::to_string(pid & 255) + ":" + std::to_string(next++);
 }
 
 class Wire {
@@ -94,6 +94,8 @@
 public:
     explicit Listener(int backlog = 64) : endpoint(fresh_endpoint()), fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
         const auto at = *myrtleroute::wire::read_endpoint(endpoint);
+        const int on = 1;   // an earlier run may have left connections behind
+        ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         REQUIRE(::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
         REQUIRE(::listen(fd_, backlog) == 0);
     }
