Leave room for the longest head beside the largest answer to a client

Found in reading: a server's content type goes back to the client, up to 8 KiB of it, while the client's ring had 4 KiB beyond the largest body; the push failed unheard and the call stayed unanswered (Clients::say). The ring now has 16 KiB beyond it. The case of the largest bodies has such a head and fails without it.

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr size_t most_in = 16 * 1024, most_out = wire::most_body + 4096;
+constexpr size_t most_in = 16 * 1024, most_out = wire::most_body + 16 * 1024;   // with its head
 constexpr Span accept_again{0.01};
 constexpr Span read_within{10};   // a call whole, once begun; an answer, once written
 constexpr Span linger{1};         // for the other end to close after our last answer
@@ -54,8 +54,9 @@
 // With no descriptor left, idle connections go first; without any, new ones wait in the system's queue.
 void Clients::accept() {
     for (;;) {
-        bool room = open_ >= s_.most_clients() ? shed()
-                                               : s_.loop.connections() < s_.most_connections() || make_room_();
+        bool room = s_.loop.connections() < s_.most_connections();
+        if (open_ >= s_.most_clients()) room = shed();
+        else if (!room) room = make_room_();
         if (room) {
             const int fd = ::accept4(listener_->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (fd >= 0) {
@@ -86,10 +87,7 @@
 void Clients::read(Client& c) {
     // One call at a time, and no answer is given before the last one is written.
     while (c.open() && !c.call && !c.last && c.out.empty() && !c.in.empty()) {
-        if (c.idle) {
-            idle_.erase(c.place);
-            c.idle = false;
-        }
+        if (std::exchange(c.idle, false)) idle_.erase(c.place);
         if (!c.http.begun()) s_.loop.set(c, s_.loop.now() + read_within);
         c.in.drop(c.http.feed(c.in.front()));
         if (c.http.fault()) {
@@ -225,7 +223,7 @@
 }
 
 bool Clients::shed() {
-    // Guards against losing calls: one that has come and waits to be read, or is on its way, as on a connection
+    // Guards against losing calls: one that has come and waits to be read, or is on its way, as on one
     // that was made for it just now.
     for (auto* c : idle_) {
         if (s_.loop.now() - c->idle_since < settles) return false;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -422,7 +422,8 @@
     wait(0.1);
     const auto came = server.message();
     CHECK(came.substr(came.size() - body.size()) == body);
-    for (size_t at = 0, all = answer(body).size(); at < all; at += 9000) server.send(answer(body).substr(at, 9000));
+    const auto reply = answer(body, "200 OK", "Content-Type: text/" + std::string(8000, 'c') + "\r\n");
+    for (size_t at = 0; at < reply.size(); at += 9000) server.send(reply.substr(at, 9000));
     wait(0.1);
     const auto back = client.message();
     CHECK(status(back) == 200);
