Read the configuration again on SIGHUP and turn to the discovery it names

Checked: 129 is the status of a program ended by signal 1; the log ends without a line of ours, so no fault of the loop; ruled out: discovery's move itself, which comes 1.5 s later. At fault: Proxy::hear_signals, which left SIGHUP to the system, and read_config, in which BALANCER_DISCOVERY wins always. Now: the file is read again; its discovery, limits and log level hold from then on, the variable counts at the start only; the watch begins anew and asks for all, as the new discovery may number its lists afresh. A file at fault: one line with its key, all stays as it was. Ruled out as needed: taking up settings, name and address anew.

--- a/src/run/log.hpp
+++ b/src/run/log.hpp
@@ -49,6 +49,7 @@
         std::ostringstream text_;
     };
 
+    void let(Level least) { least_ = least; }   // from now on
     bool writes(Level level) const { return level >= least_; }
     Line at(Level level) { return {writes(level) ? &out_ : nullptr, level}; }
     Line debug() { return at(Level::debug); }
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdlib>
 #include <cstring>
 #include <sstream>
 
@@ -68,7 +69,7 @@
     signals_ = &s_.loop.adopt(std::make_unique<Signals>(*this, ends[0]));
     struct sigaction action{};
     action.sa_handler = on_signal;
-    for (const int number : {SIGTERM, SIGINT, SIGUSR1}) ::sigaction(number, &action, nullptr);
+    for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) ::sigaction(number, &action, nullptr);
     action.sa_handler = SIG_IGN;
     return ::sigaction(SIGPIPE, &action, nullptr) == 0;
 }
@@ -80,6 +81,8 @@
             std::ostringstream counts;
             s_.counters.print(counts);
             s_.log.warning() << s_.config.name << " counts: " << counts.str();
+        } else if (number == SIGHUP) {
+            if (phase_ == serving) read_again();
         } else if (phase_ == serving) {
             s_.log.info() << s_.config.name << " is told to stop";
             Span longest;
@@ -91,6 +94,27 @@
     }
 }
 
+// Discovery, limits and log level are taken from the file as it is now, whatever the environment said of
+// discovery at the start; the rest holds until the next start. Guards against a file half written or at fault:
+// all stays as it was.
+void Proxy::read_again() {
+    const auto environment = [](const char* name) -> const char* {
+        return std::string_view(name) == "BALANCER_DISCOVERY" ? nullptr : std::getenv(name);
+    };
+    try {
+        const Config fresh = read_config(environment);
+        s_.config.discovery = fresh.discovery;
+        s_.config.memory_mb = fresh.memory_mb;
+        s_.config.sockets = fresh.sockets;
+        s_.bound_sockets();
+        s_.log.let(fresh.log_level);
+        s_.log.info() << s_.config.name << " has read its configuration again";
+        watcher_.discovery_moved();
+    } catch (const BadConfig& fault) {
+        s_.log.error() << fault.what() << "; all stays as it was";
+    }
+}
+
 void Proxy::due(memory::Connection&) {
     if (phase_ == closed) {
         phase_ = over;
--- a/src/run/proxy.hpp
+++ b/src/run/proxy.hpp
@@ -27,6 +27,7 @@
     void broke(memory::Connection&, int) override {}
     void due(memory::Connection&) override;      // the time to stop, then the time to end
     bool hear_signals();
+    void read_again();
     void settle();
     void last_answers();
 
--- a/src/run/shared.hpp
+++ b/src/run/shared.hpp
@@ -26,6 +26,9 @@
     std::unique_ptr<Balancer> balancer;
 
     explicit Shared(Config c) : config(std::move(c)), log(config.log_level), loop(log) {
+        bound_sockets();
+    }
+    void bound_sockets() {   // by what the system allows
         rlimit system{};
         if (::getrlimit(RLIMIT_NOFILE, &system) == 0)
             config.sockets = std::min<size_t>(config.sockets, system.rlim_cur);
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -114,6 +114,13 @@
     else no_list();
 }
 
+// Another discovery may number its lists afresh, so it is asked for all it has.
+void Watcher::discovery_moved() {
+    if (call_) s_.loop.end(*std::exchange(call_, nullptr), Why::told_to_close);
+    has_rev_ = false;
+    ask();
+}
+
 void Watcher::settle() {
     if (std::exchange(wanted_, false) && !call_) ask();
 }
--- a/src/run/watcher.hpp
+++ b/src/run/watcher.hpp
@@ -13,6 +13,7 @@
     void tell_known();
     bool has_list() const { return has_list_; }
     void watch() { wanted_ = true; }   // from now on, until a call fails
+    void discovery_moved();            // to where the configuration now says
     void settle();
 
     void list_starts(bool whole) override;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -178,6 +178,12 @@
         ::unlink(log_path_.c_str());
     }
     Wire client() { return connect(listen); }
+    void configure(const std::string& text) {   // replaces the file and tells it so
+        const auto fresh = config_path_ + "-new";
+        std::ofstream(fresh) << text;
+        ::rename(fresh.c_str(), config_path_.c_str());
+        signal(SIGHUP);
+    }
     void signal(int number) { ::kill(pid_, number); }
     void hold() {   // until SIGCONT
         signal(SIGSTOP);
@@ -217,6 +223,7 @@
         pid_ = ::fork();
         if (pid_ == 0) {
             ::setenv("BALANCER_CONFIG", config_name, 1);
+            if (text.find(discovery.endpoint) != text.npos) ::setenv("BALANCER_DISCOVERY", discovery.endpoint.c_str(), 1);
             ::dup2(log_file, 2);
             ::execl(MYRTLEROUTE_PROGRAM, MYRTLEROUTE_PROGRAM, nullptr);
             ::_exit(99);
@@ -517,6 +524,44 @@
     CHECK(asked <= 12);
 }
 
+TEST_CASE("told to read its configuration again, it turns to another discovery, whose lists are numbered afresh") {
+    World w(2);
+    Listener next;
+    const auto known = list(7, true, entry(0, w.servers[0].endpoint));   // older than what it knows by now
+    auto old = w.discovery.accept();
+    CHECK(old.message().find("?from=5&") != std::string::npos);
+    auto client = w.client();
+    client.send(request("book"));
+    Wire busy;
+    for (auto& server : w.servers)
+        if (server.called(0.2)) busy = server.accept();
+    busy.message();
+    w.configure(config(w.listen, next.endpoint, known));
+    auto discovery = next.accept();
+    CHECK(discovery.message().find("GET /discovery/hosts HTTP/1.1") == 0);
+    CHECK(old.ends());
+    discovery.send(answer(list(1, true, entry(1, w.servers[1].endpoint))));
+    CHECK(discovery.message().find("?from=1&") != std::string::npos);
+    busy.send(answer("taken before"));
+    CHECK(status(client.message()) == 200);
+    busy.close();
+    struct Case { const char *key, *from, *to; };
+    for (const auto& c : {Case{"discovery", "\"discovery\":", "\"discover\":"}, Case{"seed", "8c1f", "xyz"},
+                          Case{"limits.sockets", "\"sockets\":64", "\"sockets\":3"}}) {
+        auto text = config(w.listen, w.discovery.endpoint, known);
+        text.replace(text.find(c.from), std::string(c.from).size(), c.to);
+        w.configure(text);
+        CHECK(w.logs(std::string("error configuration: ") + c.key + " "));
+    }
+    CHECK_FALSE(discovery.ready(0.1));
+    CHECK_FALSE(w.discovery.called(0));
+    client.send(request("book"));
+    auto server = w.servers[1].accept();
+    server.message();
+    server.send(answer("x"));
+    CHECK(status(client.message()) == 200);
+}
+
 TEST_CASE("told to stop, it serves on while clients come, answers all and ends") {
     World w(4);
     auto idle = w.client(), busy = w.client();
