Judge resets by share, and let no penalties count while over half the pool has one

Checked, with the module's state logged twice a second: single resets (answers that break off or come spoilt, connections closed right after an answer) penalised 5 to 9 of 9 members for 5 s each; has_room shares the whole room among the others, so one had 30 calls in flight while eight idled, tipped, and its time-outs penalised the next. At fault: Fleet::ended, where a reset penalises at once; Fleet::choose and pick, which keep off penalised members however many they are. Now: a reset is judged as an error is, by the server's share of failures against the median; penalties count only while at most half the pool has one.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,8 +1,7 @@
-// All decisions of myrtleroute: where each API call's shots go while things fail. The adapter (later the
-// proxy) calls the events of Balancer and carries out what comes back through Actions; both stand in
-// logic.hpp. The mechanism is that of docs/design.md. Below: Desk (what all share), Fleet (list, pool,
-// choice, health), the stages of the chain (chain.hpp) from the API call's side to the servers' side, and at
-// the end the Balancer, which feeds events to them.
+// All decisions of myrtleroute: where each API call's shots go while things fail. Adapter and proxy call the
+// events of Balancer and carry out what comes back through Actions (logic.hpp); docs/design.md has the
+// mechanism. Below: Desk (what all share), Fleet (list, pool, choice, health), the stages of the chain from
+// the API call's side to the servers' side, and the Balancer, which feeds events to them.
 #include "logic.hpp"
 
 #include <algorithm>
@@ -130,8 +129,11 @@
 
     // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised
     // members are for the time when no other is left; and when no member may take it, any listed server beats
-    // no answer.
+    // no answer. Guards against driving all calls to the last few when failures are wide (connections that
+    // break, spoilt answers): with over half the pool penalised, penalties tell nothing and do not count.
     Server* choose(const Call& c) {
+        const auto blamed = [this](auto* s) { return desk_.now < s->penalty_until; };
+        wide_ = 2 * std::count_if(members_.begin(), members_.end(), blamed) > std::ssize(members_);
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
         const double wait = all - (desk_.now - c.arrived).s * part;
         for (auto& side : sides_) {
@@ -145,13 +147,13 @@
             auto& side = sides_[far(*s)];
             side.floor += std::max(1.0, share()) / members_.size();
             side.held += s->held();
-            if (!s->quarantined && desk_.now >= s->penalty_until) side.strength += strength(*s);
+            if (!s->quarantined && !penalised(*s)) side.strength += strength(*s);
             earn(*s);
         }
         bool full = false;
         for (const auto* among : {&members_, &order_})
-            for (const bool penalised : {false, true})
-                if (auto* best = pick(*among, c, penalised, full); best || full) return best;
+            for (const bool last : {false, true})
+                if (auto* best = pick(*among, c, last, full); best || full) return best;
         return nullptr;
     }
 
@@ -187,9 +189,9 @@
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
                 return;
-            case Outcome::errored: heard(s); return blame(s, stands_out(s));
+            case Outcome::errored: heard(s); [[fallthrough]];
+            case Outcome::reset: return blame(s, stands_out(s));
             case Outcome::full: heard(s); return blame(s);
-            case Outcome::reset: return blame(s);
             case Outcome::connect_failed:
                 lay_ghosts(s, desk_.now);
                 return blame(s);
@@ -277,8 +279,8 @@
         s.record.add(desk_.now, failed);
         if (penalise) s.penalty_until = desk_.now + penalty;
     }
-    // Guards against stray errors idling sound servers: an error is held against a server whose share of
-    // failures, this one included, stands out from the fleet's median.
+    // Guards against stray errors and resets idling sound servers: held against one whose share of failures,
+    // this one included, stands out from the fleet's median.
     bool stands_out(Server& s) const {
         const double bad = s.record.total(desk_.now, failed) + 1;
         return bad / (bad + s.record.total(desk_.now, answered)) > median_share_ + outstanding;
@@ -373,13 +375,14 @@
         return best > 0 && c.product->took > 0 ? 0.6 + 0.4 * c.worth / c.product->took / best : 0.6;
     }
 
-    Server* pick(const std::vector<Server*>& among, const Call& c, bool penalised, bool& full) {
+    bool penalised(const Server& s) const { return !wide_ && desk_.now < s.penalty_until; }
+    Server* pick(const std::vector<Server*>& among, const Call& c, bool last, bool& full) {
         Server* best = nullptr;
         double least = std::numeric_limits<double>::infinity();
         double tied = 0;
         for (auto* s : among) {
             if (s->quarantined || s->state != State::ready || !may_send(c, *s, desk_.now)) continue;
-            if ((desk_.now < s->penalty_until) != penalised) continue;
+            if (penalised(*s) != last) continue;
             const double warm = warm_share(*s);
             if (warm < 1 && s->credit < 1) continue;
             if (!has_room(*s)) {
@@ -451,6 +454,7 @@
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0;
     double median_share_ = 0;
+    bool wide_ = false;           // over half the pool is penalised
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
     enum { answers, shots, time, lanes };
