Count a client's 3 s from its connect or last answer, and turn away what is no sound call

Checked: by end codes who was shed; the counters held no call turned away for lack of room, so descriptors, not calls, ran out. Ruled out: memory (0.5 MB of 32), server connections (100 to 176 of them at once). At fault in Clients: read_within restarted by what comes, no end to idling, shed() in order of idling only, so that usual connections went before silent ones; accept() without bound; came() reading 60 MB in 16 KiB steps; take() without a look at the id or at what stands behind the call. In AskReader: method against class, body on GET, no length, 0 or endless time. Log lines go out in one write a round. 503 at the door carries Retry-After.

--- a/src/memory/calls.hpp
+++ b/src/memory/calls.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,7 @@
     int product = -1;
     int tenant = 0;
     Span patience{-1};     // counted from the client's send; below 0 = not said
-    bool has_id = false;
+    std::string id;        // the client's
 };
 
 struct Held {
@@ -32,9 +33,11 @@
 
 class Calls {
 public:
-    Held& take() {
+    Held& take(Ask ask) {
         auto held = std::make_unique<Held>();
         held->id = next_++;
+        held->ask = std::move(ask);
+        open_.insert(held->ask.id);
         return *(held_[held->id] = std::move(held));
     }
     Held* find(CallId id) {
@@ -42,8 +45,11 @@
         return it == held_.end() ? nullptr : it->second.get();
     }
     void forget_if_over(Held& held) {
-        if (!held.client && held.out == 0) held_.erase(held.id);
+        if (held.client || held.out) return;
+        open_.erase(held.ask.id);
+        held_.erase(held.id);
     }
+    bool open(const std::string& id) const { return open_.count(id) > 0; }   // by the client's id
     size_t size() const { return held_.size(); }
     template <class Each>
     void each(Each&& what) {   // at the end only
@@ -53,6 +59,7 @@
 private:
     CallId next_ = 1;
     std::map<CallId, std::unique_ptr<Held>> held_;   // by age
+    std::set<std::string> open_;
 };
 
 }  // namespace myrtleroute::memory
--- a/src/memory/connection.hpp
+++ b/src/memory/connection.hpp
@@ -56,6 +56,7 @@
     bool connecting = false;   // not up yet
     bool listens = false;      // the owner reads it itself
     bool ended = false;        // the other end sends no more
+    bool deaf = false;         // no more is read of it
     bool open() const { return fd >= 0; }
 };
 
--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -16,9 +16,15 @@
 
 constexpr size_t most_in = 16 * 1024, most_out = wire::most_body + 16 * 1024;   // with its head
 constexpr Span accept_again{0.01};
-constexpr Span read_within{10};   // a call whole, once begun; an answer, once written
+constexpr int accepts_a_round = 32;
+// Whoever connects is owed an answer or a close within 3 s. From connecting or from the last answer on:
+constexpr Span idle_after{2};     // with no call begun, it is closed
+constexpr Span whole_within{2.8}; // a call begun is whole, however its bytes trickle
+constexpr Span read_within{5};    // an answer is read, once written
 constexpr Span linger{1};         // for the other end to close after our last answer
-constexpr Span settles{0.5};      // idle for less, a connection may have a call on its way
+constexpr size_t most_dropped = 4 * wire::most_body;   // of what it still sends; the rest is not even read
+// Idle for less, a connection may have a call on its way: one used before, and one that was made for a call.
+constexpr Span settles{0.5}, speaks_within{0.1};
 
 }  // namespace
 
@@ -38,10 +44,12 @@
     bool last = false;           // to be ended once all is written
     bool lingers = false;        // all is written and our side is closed
     bool waits = false;          // in waiting_
+    bool asked = false;          // a whole call has come on it
+    size_t dropped = 0;
     Why why = Why::told_to_close;
+    Time since;                  // it came, or had its last answer
+    std::list<Client*>* among = nullptr;   // those that rest like it
     std::list<Client*>::iterator place;
-    bool idle = false;           // in idle_, at its place
-    Time idle_since;
 };
 
 bool Clients::open() {
@@ -53,7 +61,7 @@
 
 // With no descriptor left, idle connections go first; without any, new ones wait in the system's queue.
 void Clients::accept() {
-    for (;;) {
+    for (int n = 0; n < accepts_a_round; ++n) {
         bool room = s_.loop.connections() < s_.most_connections();
         if (open_ >= s_.most_clients()) room = shed();
         else if (!room) room = make_room_();
@@ -80,21 +88,20 @@
     if (connection.listens) return accept();
     auto& c = static_cast<Client&>(connection);
     if (c.ended) return end(c, c.lingers ? c.why : Why::peer_closed);
-    if (c.lingers) c.in.drop(c.in.size());
-    else read(c);
+    if (!c.lingers) return read(c);
+    c.dropped += c.in.size();
+    c.in.drop(c.in.size());
+    c.deaf = c.dropped > most_dropped;
 }
 
 void Clients::read(Client& c) {
     // One call at a time, and no answer is given before the last one is written.
     while (c.open() && !c.call && !c.last && c.out.empty() && !c.in.empty()) {
-        if (std::exchange(c.idle, false)) idle_.erase(c.place);
-        if (!c.http.begun()) s_.loop.set(c, s_.loop.now() + read_within);
+        leave(c);
+        if (!c.http.begun()) s_.loop.set(c, c.since + whole_within);
         c.in.drop(c.http.feed(c.in.front()));
         if (c.http.fault()) {
-            s_.counters.add(Count::calls_malformed);
-            c.last = true;
-            c.why = Why::bad_call;
-            say(c, c.http.fault(), "");
+            refuse(c, c.http.fault());
         } else if (c.http.done()) {
             s_.loop.clear(c);
             take(c);
@@ -109,13 +116,16 @@
 void Clients::take(Client& c) {
     if (stopping_ || !c.http.keeps()) c.last = true;
     if (c.reader.asks_if_up()) return say(c, ready_ ? 200 : 503, "");
+    c.asked = true;
+    // Guards against calls hidden behind others, and against one that takes another's place: a connection
+    // carries one call at a time, and an id is one call's until that is over.
+    if (!c.in.empty() || s_.calls.open(c.reader.ask().id)) return refuse(c, c.in.empty() ? 409 : 400);
     // At the door, as the simulator does: nothing of it has run, so a retry is harmless.
     if (s_.calls.size() >= s_.most_calls()) {
         s_.counters.add(Count::calls_turned_away_full);
-        return say(c, 503, "");
+        return say(c, 503, "", wire::come_back(s_.settings().retry_after ? s_.settings().max_retry_after : Span{}));
     }
-    auto& call = s_.calls.take();
-    call.ask = std::move(c.reader.ask());
+    auto& call = s_.calls.take(std::move(c.reader.ask()));
     call.client = &c;
     c.call = &call;
     s_.counters.add(Count::calls_taken);
@@ -135,8 +145,16 @@
     say(*c, status, body, fields);
 }
 
+// What is no sound call has its answer at once, and the connection ends with it.
+void Clients::refuse(Client& c, int status) {
+    s_.counters.add(Count::calls_malformed);
+    c.last = true;
+    c.why = Why::bad_call;
+    say(c, status, "");
+}
+
 void Clients::say(Client& c, int status, std::string_view body, std::string_view fields) {
-    if (stopping_) c.last = true;
+    if (stopping_ || !c.in.empty()) c.last = true;   // more has come before it had its answer
     c.out.push(wire::answer(status, body, !c.last, fields));
     c.http.next();
     c.reader.next();
@@ -147,20 +165,23 @@
 
 // Between requests.
 void Clients::rest(Client& c) {
-    s_.loop.clear(c);
+    c.since = s_.loop.now();
     if (c.last) {
         // Closing with bytes unread would reset the connection, and the answer might be lost with it.
         ::shutdown(c.fd, SHUT_WR);
         c.lingers = true;
         c.in.drop(c.in.size());
-        s_.loop.set(c, s_.loop.now() + (stopping_ ? linger * 0.2 : linger));
-    } else if (!c.in.empty()) {
-        wait(c);
-    } else if (!c.idle) {
-        c.idle_since = s_.loop.now();
-        c.place = idle_.insert(idle_.end(), &c);
-        c.idle = true;
+        s_.loop.set(c, c.since + (stopping_ ? linger * 0.2 : linger));
+    } else {
+        s_.loop.set(c, c.since + idle_after);
     }
+    leave(c);
+    c.among = c.last ? &lingering_ : c.asked ? &idle_ : &silent_;
+    c.place = c.among->insert(c.among->end(), &c);
+}
+
+void Clients::leave(Client& c) {
+    if (c.among) std::exchange(c.among, nullptr)->erase(c.place);
 }
 
 void Clients::wait(Client& c) {
@@ -194,21 +215,17 @@
         return;
     }
     auto& c = static_cast<Client&>(connection);
-    if (c.idle) {
-        if (still_quiet(c.fd)) end(c, Why::stopping);
-        return;
-    }
     if (c.lingers) return end(c, c.why);
+    if (c.among && still_quiet(c.fd)) return end(c, stopping_ ? Why::stopping : Why::idle);
+    if (c.among) return s_.loop.set(c, s_.loop.now() + settles);   // what has come is read in a moment
     if (!c.out.empty()) return end(c, Why::unread);
-    s_.counters.add(Count::calls_malformed);
-    c.last = true;
+    refuse(c, 408);
     c.why = Why::call_unfinished;
-    say(c, 408, "");
 }
 
 void Clients::end(Client& c, Why why) {
     if (!c.open()) return;
-    if (std::exchange(c.idle, false)) idle_.erase(c.place);
+    leave(c);
     if (c.waits) std::erase(waiting_, &c);
     c.waits = false;
     auto* call = std::exchange(c.call, nullptr);
@@ -222,16 +239,19 @@
     if (auto* held = s_.calls.find(id)) s_.calls.forget_if_over(*held);
 }
 
+// Those first that have had their last answer, then those that never said anything, then the longest idle.
 bool Clients::shed() {
     // Guards against losing calls: one that has come and waits to be read, or is on its way, as on one
     // that was made for it just now.
-    for (auto* c : idle_) {
-        if (s_.loop.now() - c->idle_since < settles) return false;
-        if (!still_quiet(c->fd)) continue;
-        s_.counters.add(Count::connections_shed);
-        end(*c, Why::shed);
-        return true;
-    }
+    for (const auto& [among, least] :
+         {std::pair{&lingering_, speaks_within}, {&silent_, speaks_within}, {&idle_, settles}})
+        for (auto* c : *among) {
+            if (s_.loop.now() - c->since < least) break;
+            if (!c->lingers && !still_quiet(c->fd)) continue;
+            s_.counters.add(Count::connections_shed);
+            end(*c, Why::shed);
+            return true;
+        }
     return false;
 }
 
@@ -241,9 +261,10 @@
     s_.loop.end(*listener_, Why::stopping);
     listener_ = nullptr;
     // One used lately may have a call on its way; that is still answered, and ends the connection.
-    const auto idle = idle_;
-    for (auto* c : idle)
-        if (s_.loop.now() - c->idle_since < settles) s_.loop.set(*c, c->idle_since + settles);
+    auto quiet = idle_;
+    quiet.insert(quiet.end(), silent_.begin(), silent_.end());
+    for (auto* c : quiet)
+        if (s_.loop.now() - c->since < settles) s_.loop.set(*c, c->since + settles);
         else due(*c);
 }
 
--- a/src/run/clients.hpp
+++ b/src/run/clients.hpp
@@ -15,7 +15,7 @@
     bool open();                                     // false: can't listen there
     void ready() { ready_ = true; }                  // GET /up may answer 200
     void give(memory::Held& call, int status, std::string_view body, std::string_view fields = {});
-    bool shed();                                     // ends the connection that has stood idle longest
+    bool shed();                                     // ends a connection that can go, if there is one
     void settle();                                   // goes on with calls that wait behind an answer
     void last_ones();                                // takes what has come, listens no more, ends idle ones
     bool over() const { return open_ == 0; }
@@ -33,13 +33,15 @@
     void read(Client& c);
     void take(Client& c);
     void say(Client& c, int status, std::string_view body, std::string_view fields = {});
+    void refuse(Client& c, int status);
     void rest(Client& c);
+    void leave(Client& c);
     void wait(Client& c);
     void end(Client& c, memory::Why why);
 
     Shared& s_;
     Listener* listener_ = nullptr;
-    std::list<Client*> idle_;                        // the longest idle first
+    std::list<Client*> idle_, silent_, lingering_;   // the longest so first; `silent_` never asked
     std::deque<Client*> waiting_;
     std::function<bool()> make_room_;
     size_t open_ = 0;
--- a/src/run/log.hpp
+++ b/src/run/log.hpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <string>
 #include <string_view>
 
 namespace myrtleroute::run {
@@ -22,36 +23,41 @@
 public:
     explicit Log(Level least, std::ostream& out = std::cerr) : least_(least), out_(out) {}
 
-    // Collects a line and writes it whole when it goes out of scope.
+    ~Log() { flush(); }
+    // Writes the lines collected since: once a round, so that a crowd of them costs little.
+    void flush() {
+        if (!lines_.empty()) out_ << lines_ << std::flush;
+        lines_.clear();
+    }
+
+    // Collects a line and passes it on whole when it goes out of scope.
     class Line {
     public:
-        Line(std::ostream* out, Level level) : out_(out) {
-            if (!out_) return;
+        Line(std::string* lines, Level level) : lines_(lines) {
+            if (!lines_) return;
             const auto now = std::chrono::system_clock::now().time_since_epoch();
             text_ << std::fixed << std::setprecision(3) << std::chrono::duration<double>(now).count() << ' '
                   << level_names[static_cast<int>(level)] << ' ';
             text_.unsetf(std::ios::fixed);
         }
         ~Line() {
-            if (!out_) return;
-            text_ << '\n';
-            *out_ << text_.str() << std::flush;
+            if (lines_) lines_->append(text_.str()).append("\n");
         }
         Line(const Line&) = delete;
         template <class T>
         Line& operator<<(const T& what) {
-            if (out_) text_ << what;
+            if (lines_) text_ << what;
             return *this;
         }
 
     private:
-        std::ostream* out_;
+        std::string* lines_;
         std::ostringstream text_;
     };
 
     void let(Level least) { least_ = least; }   // from now on
     bool writes(Level level) const { return level >= least_; }
-    Line at(Level level) { return {writes(level) ? &out_ : nullptr, level}; }
+    Line at(Level level) { return {writes(level) ? &lines_ : nullptr, level}; }
     Line debug() { return at(Level::debug); }
     Line info() { return at(Level::info); }
     Line warning() { return at(Level::warning); }
@@ -60,6 +66,7 @@
 private:
     Level least_;
     std::ostream& out_;
+    std::string lines_;
 };
 
 }  // namespace myrtleroute::run
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -30,7 +30,7 @@
 
 void Loop::look_again(Connection& c) {
     short events = 0;
-    if (!c.connecting && !c.ended && !c.in.full()) events |= POLLIN;
+    if (!c.connecting && !c.ended && !c.deaf && !c.in.full()) events |= POLLIN;
     if (c.connecting || !c.out.empty()) events |= POLLOUT;
     polled_[c.slot].events = events;
 }
@@ -123,6 +123,7 @@
 
 void Loop::round(const std::function<void(uint64_t)>& woken, const std::function<void()>& settle) {
     settle();
+    log_.flush();
     const int n = ::poll(polled_.data(), polled_.size(), pause());
     now_ = read_clock();
     ready_.clear();
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -153,9 +153,7 @@
     auto* call = s_.calls.find(id);
     if (!call) return;
     s_.counters.add(Count::calls_rate_limited);
-    std::ostringstream fields;
-    if (come_back > Span{}) fields << "Retry-After: " << come_back.s << "\r\n";
-    clients_.give(*call, 429, "", fields.str());
+    clients_.give(*call, 429, "", wire::come_back(come_back));
 }
 
 void Proxy::error(CallId id) {
--- a/src/wire/ask.cpp
+++ b/src/wire/ask.cpp
@@ -1,6 +1,7 @@
 #include "wire/ask.hpp"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "wire/text.hpp"
@@ -10,8 +11,9 @@
 Span read_time_out(std::string_view text) {
     if (text.size() < 2) return {-1};
     const char unit = text.back();
-    const auto n = decimal(text.substr(0, text.size() - 1));
-    if (!n || !(*n >= 0) || (unit != 'm' && unit != 'u')) return {-1};
+    const auto plain = text.substr(0, text.size() - 1);
+    const auto n = plain.find_first_not_of("0123456789.") == plain.npos ? decimal(plain) : std::nullopt;
+    if (!n || (unit != 'm' && unit != 'u')) return {-1};
     return {*n * (unit == 'm' ? 1e-3 : 1e-6)};
 }
 
@@ -36,7 +38,7 @@
     if (same(name, "X-Timeout")) {
         if (ask_.patience.s >= 0) return 400;
         ask_.patience = read_time_out(value);
-        return ask_.patience.s >= 0 ? 0 : 400;
+        return ask_.patience.s > 0 ? 0 : 400;
     }
     if (same(name, "X-Priority-Class")) {
         if (ask_.product >= 0) return 400;
@@ -45,18 +47,24 @@
         if (ask_.product < 0) return 400;
     }
     if (same(name, "X-Request-ID")) {
-        if (ask_.has_id || value.empty()) return 400;
-        ask_.has_id = true;
+        if (!ask_.id.empty() || value.empty()) return 400;
+        ask_.id = value;
     }
     ask_.head.append(name).append(": ").append(value).append("\r\n");
     return 0;
 }
 
-int AskReader::head_ends() {
+int AskReader::head_ends(Body body) {
+    const bool get = ask_.head.front() == 'G';
+    if (get && body == Body::some) return 400;      // servers may disagree on where it ends
     if (up_) return 0;
     if (!host_) ask_.head.append("Host: api\r\n");   // an older client's, which need not say
-    if (!ask_.has_id || ask_.product < 0) return 400;
-    if (ask_.patience.s < 0) ask_.patience = settings_->products[ask_.product].client_timeout;
+    if (ask_.id.empty() || ask_.product < 0) return 400;
+    const auto& product = settings_->products[ask_.product];
+    if (get != (product.repeat == Repeat::idempotent)) return 405;
+    if (!get && body == Body::unsaid) return 411;
+    // No client waits for longer than its class's time, whatever it says; so none can be held on to by it.
+    if (ask_.patience.s < 0 || ask_.patience > product.client_timeout) ask_.patience = product.client_timeout;
     return 0;
 }
 
@@ -64,7 +72,8 @@
     std::string_view reason = "Error";
     for (const auto& [known, phrase] : {std::pair{200, "OK"}, {400, "Bad Request"},
                                         {405, "Method Not Allowed"},
-                                        {408, "Request Timeout"}, {413, "Content Too Large"},
+                                        {408, "Request Timeout"}, {409, "Conflict"},
+                                        {411, "Length Required"}, {413, "Content Too Large"},
                                         {417, "Expectation Failed"}, {429, "Too Many Requests"},
                                         {431, "Request Header Fields Too Large"}, {502, "Bad Gateway"},
                                         {503, "Service Unavailable"}})
@@ -76,4 +85,11 @@
     return text.append(more).append("\r\n").append(body);
 }
 
+std::string come_back(Span after) {
+    if (after <= Span{}) return {};
+    std::ostringstream field;
+    field << "Retry-After: " << after.s << "\r\n";
+    return field.str();
+}
+
 }  // namespace myrtleroute::wire
--- a/src/wire/ask.hpp
+++ b/src/wire/ask.hpp
@@ -18,7 +18,7 @@
 
     int start(std::string_view method, std::string_view target, std::string_view version) override;
     int field(std::string_view name, std::string_view value) override;
-    int head_ends() override;
+    int head_ends(Body body) override;
     void body(std::string_view bytes) override { ask_.body.append(bytes); }
 
 private:
@@ -30,6 +30,9 @@
 // `480m` or `900u`; below 0 where it is neither.
 Span read_time_out(std::string_view text);
 
+// The field that tells a client when to try again; none for no time at all.
+std::string come_back(Span after);
+
 std::string answer(int status, std::string_view body, bool keep, std::string_view more = {});
 
 }  // namespace myrtleroute::wire
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -15,7 +15,8 @@
     // method, target and version; of an answer: version, status and reason
     virtual int start(std::string_view first, std::string_view second, std::string_view third) = 0;
     virtual int field(std::string_view name, std::string_view value) = 0;
-    virtual int head_ends() { return 0; }
+    enum class Body { unsaid, none, some };   // what the head says of it
+    virtual int head_ends(Body) { return 0; }
     virtual void body(std::string_view bytes) = 0;
 };
 
