Let an answered server connection rest before its next call, and end answers that stop short

Ruled out: answers with too much in one piece, which already closed their connection. At fault: Servers::line_to, which takes the connection used last however fresh; Servers::came, which waits until the call's end for the rest of an answer; HttpMachine's until_closed, which takes a broken answer for a whole one. Now: 5 ms of rest (a fiftieth of the connect time-out); an answer is whole within the connect time-out of its first byte, or a reset; one without length is a reset.

--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -26,6 +26,8 @@
 
 constexpr double idle_share = 0.75;   // of the time after which servers close idle connections
 constexpr double probe_share = 2;     // of the time a connection may take to come up
+constexpr double whole_share = 1;     // of that time: for an answer to be whole, once it has begun
+constexpr double rest_share = 0.02;   // of that time: before a connection that has answered is used again
 
 Count counter(Outcome outcome) {
     switch (outcome) {
@@ -63,8 +65,12 @@
 Line* Servers::line_to(ServerId id, Outcome& otherwise) {
     auto* server = s_.servers.find(id);
     if (!server) return nullptr;
-    while (!server->idle.empty()) {
-        auto& line = *server->idle.front();
+    // Guards against a second answer, or noise, right behind the one that was asked for: what comes while
+    // nothing is out closes the connection, but after the next call it would pass for that call's answer.
+    const Time rested = s_.loop.now() - s_.settings().connect_timeout * rest_share;
+    for (auto it = server->idle.begin(); it != server->idle.end();) {
+        auto& line = **it++;
+        if (line.answered > rested) continue;
         unused(line);
         if (still_quiet(line.fd)) return &line;
         s_.loop.end(line, Why::peer_closed);
@@ -86,6 +92,7 @@
 
 void Servers::dispatch(Line& line, const std::string& head, const std::string& body, Span try_for) {
     line.sent = s_.loop.now();
+    line.begun = false;
     line.until = line.sent + try_for;
     line.out.push(head);
     line.out.push("X-Timeout: " + std::to_string(static_cast<long long>(try_for.s * 1e6)) + "u\r\n");
@@ -137,6 +144,8 @@
     else if (line.http.done() || line.http.fault())
         ends(line, outcome, line.ended ? Why::peer_closed : Why::bad_answer);
     else if (line.ended) ends(line, outcome, Why::peer_closed);
+    else if (line.http.begun() && !std::exchange(line.begun, true))
+        s_.loop.set(line, std::min(line.until, s_.loop.now() + s_.settings().connect_timeout * whole_share));
 }
 
 // A whole answer.
@@ -150,7 +159,7 @@
     const auto server = line.server->id;
     line.http.next();
     line.reader = {};
-    line.server->heard = s_.loop.now();
+    line.server->heard = line.answered = s_.loop.now();
     if (!reply.load.empty()) {
         std::string figures;
         const bool sound = wire::read_load(reply.load, [&](std::string_view name, double value) {
@@ -229,6 +238,8 @@
         s_.loop.end(line, Why::idle);
     } else if (line.connecting) {
         timed_out(line, Outcome::connect_failed, Why::connect_timed_out);
+    } else if (line.begun) {
+        ends(line, Outcome::reset, Why::bad_answer);   // it stopped short, or its head has no end
     } else if (s_.loop.now() < line.until) {
         s_.loop.set(line, line.until);   // it came up in time
     } else {
--- a/src/run/servers.hpp
+++ b/src/run/servers.hpp
@@ -21,6 +21,8 @@
     int shot = 0;
     bool probes = false;
     Time sent, until;            // what it carries, and when that is given up
+    bool begun = false;          // its answer has
+    Time answered = long_ago;    // its last whole one
     bool idle = false;           // in both lists, at its places
     std::list<Line*>::iterator place, server_place;
     bool busy() const { return call || probes; }
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -40,7 +40,7 @@
     void continued() { continue_ = false; }
 
 private:
-    enum class State { start, fields, body, until_closed, chunk_size, chunk, chunk_end, trailer, done };
+    enum class State { start, fields, body, chunk_size, chunk, chunk_end, trailer, done };
     void fail(int status) { if (!fault_) fault_ = status; }
     void line(std::string_view text);
     void start_line(std::string_view text);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -22,6 +22,7 @@
 double clock_now() {
     return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
+constexpr double rested = 0.02;   // an answered connection to a server may be used again
 void wait(double seconds) { ::usleep(static_cast<useconds_t>(seconds * 1e6)); }
 
 // An address of loopback that no other run of the tests has, and a port of its own for each listener.
@@ -272,6 +273,7 @@
     CHECK(status(back) == 200);
     CHECK(back.substr(back.size() - 10) == "\r\n\r\nbooked");
     CHECK(back.find("Content-Type: text/plain\r\n") != back.npos);
+    wait(rested);
     client.send(request("read"));
     CHECK(server.message().find("GET /api?day=1") == 0);   // on the same connection
     server.send(answer("x"));
@@ -360,6 +362,9 @@
         Case{"503 alone", answer("", "503 Full"), false, true, false}, Case{"500", answer("", "500 No"), false, true, false},
         Case{"429", answer("", "429 Slow down", "Retry-After: 1\r\n"), false, true, false},
         Case{"no answer", "", true, true, false}, Case{"short", answer("long").substr(0, 40), true, true, false},
+        Case{"stops short", answer("long").substr(0, 40), false, true, false},
+        Case{"head without end", "HTTP/1.1 200 OK\r\nContent-Len", false, true, false},
+        Case{"no length", "HTTP/1.1 200 OK\r\n\r\nlong", true, true, false},
         Case{"nonsense", "\x15\x03\x01 what?\r\n", false, true, false},
         Case{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", false, true, false});
     for (const std::string product : {"read", "book"}) {
@@ -455,6 +460,24 @@
     CHECK(status(client.message()) == 200);
 }
 
+TEST_CASE("a second answer right behind the first never passes for the next call's") {
+    World w;
+    auto client = w.client();
+    client.send(request("book"));
+    auto server = w.servers[0].accept();
+    server.message();
+    server.send(answer("first"));
+    CHECK(client.message().find("first") != std::string::npos);
+    client.send(request("book"));
+    auto next = w.servers[0].accept();
+    server.send(answer("first"));
+    next.message();
+    next.send(answer("second"));
+    CHECK(client.message().find("second") != std::string::npos);
+    CHECK(server.ends());
+    CHECK(w.logs("server s-0 ended: bad_answer"));
+}
+
 TEST_CASE("what stands idle to a server that has fallen silent carries no call either") {
     World w;
     std::vector<Wire> clients(2), lines(2);
@@ -467,6 +490,7 @@
         lines[0].send(answer("x"));
         clients[0].message();
     }
+    wait(rested);
     for (auto& client : clients) client.send(request("read"));
     lines[1] = w.servers[0].accept();
     for (size_t i = 0; i < 2; ++i) {
@@ -474,6 +498,7 @@
         lines[i].send(answer("x"));
     }
     for (auto& client : clients) CHECK(status(client.message()) == 200);
+    wait(rested);
     clients[0].send(request("read", "", "500m"));
     CHECK(status(clients[0].message()) == 429);
     CHECK(lines[0].ends());
@@ -701,6 +726,7 @@
     CHECK(w.logs("ended: shed"));
     server.send(answer("held on to"));
     CHECK(status(client.message()) == 200);
+    wait(rested);
     client.send(request("book"));
     server.message();
     server.send(answer("still served"));
@@ -722,6 +748,7 @@
     server.message();
     server.send(answer("x"));
     CHECK(status(client.message()) == 200);
+    wait(rested);
     crowd.front().send(request("book"));   // made just now for a call that was on its way
     server.message();
     server.send(answer("y"));
