Forget servers that are gone once nothing names them any more

Checked: by SIGUSR1, which now also prints what is held (servers_known, calls_held, descriptors). Ruled out as growing: calls (erased with their last shot), silence wakes (a second's worth), rings (given back when empty), zones (as many as are named). At fault: Servers::named and Fleet::lists, which only add. Now: the module counts the shots of held calls that name a server, and forgets it at a tick once it is gone and nothing is out; the proxy forgets it with the next list once no connection leads there (its lines count themselves, so they end before it).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "chain.hpp"
+#include "median.hpp"
 #include "random.hpp"
 
 namespace myrtleroute {
@@ -111,10 +112,7 @@
         in_flight_ += delta;
         peak_ = std::max(peak_, in_flight_);
         // A burst is over before the interval is, so growth does not wait for it; shrinking does.
-        if (in_flight_ > static_cast<int>(members_.size())) grow();
-    }
-    void grow() {
-        if (members_.size() >= order_.size()) return;
+        if (in_flight_ <= std::ssize(members_) || members_.size() >= order_.size()) return;
         target_ = members_.size() + 1;
         refill();
     }
@@ -128,9 +126,9 @@
     }
 
     // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised
-    // members are for the time when no other is left; and when no member may take it, any listed server beats
-    // no answer. Guards against driving all calls to the last few when failures are wide (connections that
-    // break, spoilt answers): with over half the pool penalised, penalties tell nothing and do not count.
+    // members are for when no other is left; when no member may take it, any listed server beats no answer.
+    // Guards against driving all calls to the last few when failures are wide (connections that break, spoilt
+    // answers): with over half the pool penalised, penalties tell nothing and do not count.
     Server* choose(const Call& c) {
         const auto blamed = [this](auto* s) { return desk_.now < s->penalty_until; };
         wide_ = 2 * std::count_if(members_.begin(), members_.end(), blamed) > std::ssize(members_);
@@ -192,9 +190,7 @@
             case Outcome::errored: heard(s); [[fallthrough]];
             case Outcome::reset: return blame(s, stands_out(s));
             case Outcome::full: heard(s); return blame(s);
-            case Outcome::connect_failed:
-                lay_ghosts(s, desk_.now);
-                return blame(s);
+            case Outcome::connect_failed: lay_ghosts(s, desk_.now); return blame(s);
             case Outcome::timed_out:
                 // A server that answered others meanwhile was not silent: the call itself may be heavy.
                 return blame(s, s.last_heard < shot.sent || stands_out(s));
@@ -214,8 +210,7 @@
     void heard_nothing(const Shot& shot) {
         Server& s = *shot.server;
         if (s.last_heard >= shot.sent || last_heard_ <= shot.sent || s.quarantined) return;
-        if (desk_.set.probing) return probe(s);
-        blame(s);
+        return desk_.set.probing ? probe(s) : blame(s);
     }
     void probe(Server& s) {
         if (s.probing || !desk_.set.probing) return;
@@ -266,13 +261,17 @@
             probe(*s);
         }
         replace();
+        forget();
     }
 
 private:
-    static double median(std::vector<double>& v, double otherwise) {
-        if (v.empty()) return otherwise;
-        std::nth_element(v.begin(), v.begin() + v.size() / 2, v.end());
-        return v[v.size() / 2];
+    // Guards against growth where new machines come under new ids all day.
+    void forget() {
+        std::erase_if(listed_, [this](auto* s) {
+            if (s->state != State::gone || s->named || s->probing || s == replaced_) return false;
+            lay_ghosts(*s, desk_.now);
+            return known_.erase(s->id) == 1;
+        });
     }
     void heard(Server& s) { s.last_heard = last_heard_ = desk_.now; }
     void blame(Server& s, bool penalise = true) {
@@ -287,9 +286,8 @@
     }
 
     // Members are taken along the sorted list from a place of this balancer's own. Where crossing costs more
-    // than a call in flight, two of three are of the own zone, as long as it has any; each part is turned by
-    // itself so that pools cover it alike. Guards against a zone that jams while the next is idle, out of
-    // reach of balancers whose small pools all lie in it.
+    // than a call in flight, two of three are of the own zone, as long as it has any. Guards against a zone
+    // that jams while the next is idle, out of reach of balancers whose small pools all lie in it.
     void arrange() {
         std::vector<Server*> parts[2];
         for (auto* s : listed_)
@@ -339,10 +337,9 @@
         return s.size * std::max<size_t>(1, members_.size()) / std::max(size_sum_, s.size);
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
-    // No cold server pushed over by hundreds of balancers that each send a call now and then: with each call
-    // placed it earns its warm share of a turn, times half of what the rule allows, so that all together keep
-    // the rule and one alone need not know the others. A turn not taken lapses: turns saved up would be taken
-    // all at once in a burst.
+    // No cold server pushed over by hundreds of balancers: with each call placed it earns its warm share of a
+    // turn, times half of what the rule allows, so all together keep the rule and one alone need not know the
+    // others. A turn not taken lapses: turns saved up would be taken all at once in a burst.
     void earn(Server& s) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
@@ -352,12 +349,11 @@
     // By Little's law a call that joins those held at a server is answered after about their number over the
     // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
     // early where all are so full. Worthier work may use more of its SLO. This balancer's share of the
-    // servers, one call at least, is always let in, so that the rate can show itself: more, and hundreds of
-    // balancers would crowd the fleet for good. Just after its start a balancer has no rate to go by: then
-    // one call a member. Where each server has many balancers, a few calls above the mean are chance, and a
-    // queue is of others' calls: so there is slack of up to three roots of the room, less the longer the
-    // shots of the last 2 s took (two instant ones, and none over the SLO, counted).
-    bool has_room(const Server& s) const {
+    // servers, one call at least, is always let in, so that the rate can show itself. Just after its start a
+    // balancer has no rate to go by: then one call a member. Where each server has many balancers, a few
+    // calls above the mean are chance: so there is slack of up to three roots of the room, less the longer
+    // the shots of the last 2 s took (two instant ones, and none over the SLO, counted).
+    bool has_room(Server& s) const {
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
         if (s.held() >= std::max(1.0, own)) return false;
@@ -400,9 +396,9 @@
         }
         return best;
     }
-    // Guards against crowding and slowness that few own calls in flight don't show: what a server's shots
-    // lately took beyond the mean and a quarter counts as calls of others in flight there. Two more shots of
-    // the mean are added to them, so that one slow answer tells little; members near the mean still tie.
+    // Guards against slowness that few own calls in flight don't show: what a server's shots lately took over
+    // the mean and a quarter counts as calls of others there. Two more shots of the mean are added to them,
+    // so that one slow answer tells little; members near the mean still tie.
     double hidden(Server& s, const Call& c) const {
         const double usual = s.record.total(desk_.now, expected), took = s.record.total(desk_.now, spent);
         return usual > 0 ? std::max(0.0, (took - usual) / (usual + 2 * c.product->took) - 0.25) : 0;
@@ -420,8 +416,7 @@
         return cost;
     }
 
-    // A member quarantined again and again, unlike the rest, is replaced, one in six intervals at most; the
-    // replacement answers before the old one goes.
+    // A member quarantined again and again, unlike the rest, is replaced, one in six intervals at most.
     void replace() {
         if (replacement_ || desk_.now < next_replacement_) return;
         std::vector<double> offences;
@@ -452,8 +447,7 @@
     std::vector<Server*> listed_, order_, members_;
     size_t target_ = first_size;
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
-    double size_sum_ = 0;
-    double median_share_ = 0;
+    double size_sum_ = 0, median_share_ = 0;
     bool wide_ = false;           // over half the pool is penalised
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
@@ -465,8 +459,7 @@
         double floor = 0, held = 0, strength = 0;
     } sides_[2];
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
-    Server* replacement_ = nullptr;
-    Server* replaced_ = nullptr;
+    Server *replacement_ = nullptr, *replaced_ = nullptr;
 };
 
 // Fairness: what a tenant sends beyond its allowance is worth little, so it is turned away first.
@@ -533,6 +526,7 @@
         c.shots.push_back(shot);
         desk_.out.send(c.id, server->id, c.give_up - desk_.now);
         desk_.out.wake(fleet_.silence(c), c.id);
+        ++server->named;
         fleet_.sent(c.shots.back());
         return Step::keep;
     }
@@ -562,18 +556,12 @@
         if (!desk_.set.pushed) out.watch_list();
     }
 
-    void list_starts(Time now, bool whole, bool cached) override {
-        desk_.now = now;
-        fleet_.list_starts(whole, cached);
-    }
+    void list_starts(Time now, bool whole, bool cached) override { at(now).list_starts(whole, cached); }
     void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size, Time launched) override {
         fleet_.lists(id, zone, cell, state, size, launched);
     }
     void list_ends() override { fleet_.list_ends(); }
-    void list_failed(Time now) override {
-        desk_.now = now;
-        fleet_.list_failed();
-    }
+    void list_failed(Time now) override { at(now).list_failed(); }
 
     void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) override {
         desk_.now = now;
@@ -610,8 +598,7 @@
         forget_if_over(*c);
     }
     void probed(Time now, ServerId id, bool reply) override {
-        desk_.now = now;
-        if (auto* s = fleet_.find(id)) fleet_.probed(*s, reply);
+        if (auto* s = at(now).find(id)) fleet_.probed(*s, reply);
     }
     void woke(Time now, uint64_t cookie) override {
         desk_.now = now;
@@ -629,6 +616,7 @@
     }
 
 private:
+    Fleet& at(Time now) { return desk_.now = now, fleet_; }
     Call* find(Time now, CallId id) {
         desk_.now = now;
         const auto it = calls_.find(id);
@@ -647,7 +635,9 @@
         if (c.out() && desk_.set.cancel && !c.streaming) desk_.out.cancel(c.id, c.shots.back().number);
     }
     void forget_if_over(Call& c) {
-        if (c.ended && !c.out()) calls_.erase(c.id);
+        if (!c.ended || c.out()) return;
+        for (const auto& shot : c.shots) --shot.server->named;
+        calls_.erase(c.id);
     }
 
     Desk desk_;
--- a/src/memory/servers.hpp
+++ b/src/memory/servers.hpp
@@ -22,6 +22,8 @@
     uint64_t listed_in = 0;          // the last list that named it
     Time heard = long_ago;           // its last whole answer
     std::list<Line*> idle;           // the latest used first
+    int lines = 0;                   // connections to it, idle or not
+    bool gone = false;               // by the list
 };
 
 class Servers {
@@ -45,6 +47,16 @@
         const auto it = by_id_.find(id);
         return it == by_id_.end() ? nullptr : it->second;
     }
+    // Those that are gone and that no connection leads to; new machines come under new uids all day.
+    void forget_gone() {
+        for (auto it = by_uid_.begin(); it != by_uid_.end();) {
+            const auto here = it++;
+            if (!here->second->gone || here->second->lines) continue;
+            by_id_.erase(here->second->id);
+            by_uid_.erase(here);
+        }
+    }
+    size_t size() const { return by_uid_.size(); }
     template <class Each>
     void each(Each&& what) {
         for (auto& [uid, server] : by_uid_) what(*server);
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -68,6 +68,7 @@
     Time last_heard = long_ago;
     Time answered_sent = long_ago; // when the latest-sent of its answered shots was sent
     Time next_probe = long_ago;    // of a quarantined one
+    int named = 0;                 // by shots of calls that are still held
     bool member = false, quarantined = false, probing = false;
     int offences = 0;              // quarantines since it joined
     std::vector<Shot*> open;
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -55,13 +55,19 @@
         s_.loop.round(woken, after_each);
     }
     last_answers();
-    auto line = s_.log.info();
-    std::ostringstream counts;
-    s_.counters.print(counts);
-    line << s_.config.name << " ends: " << counts.str();
+    s_.log.info() << s_.config.name << " ends: " << counts();
     return 0;
 }
 
+// All that was counted, and what is held now.
+std::string Proxy::counts() const {
+    std::ostringstream out;
+    s_.counters.print(out);
+    out << " servers_known=" << s_.servers.size() << " calls_held=" << s_.calls.size()
+        << " descriptors=" << s_.loop.connections();
+    return out.str();
+}
+
 bool Proxy::hear_signals() {
     int ends[2];
     if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) return false;
@@ -78,9 +84,7 @@
     char number = 0;
     while (::read(c.fd, &number, 1) == 1) {
         if (number == SIGUSR1) {
-            std::ostringstream counts;
-            s_.counters.print(counts);
-            s_.log.warning() << s_.config.name << " counts: " << counts.str();
+            s_.log.warning() << s_.config.name << " counts: " << counts();
         } else if (number == SIGHUP) {
             if (phase_ == serving) read_again();
         } else if (phase_ == serving) {
--- a/src/run/proxy.hpp
+++ b/src/run/proxy.hpp
@@ -28,6 +28,7 @@
     void due(memory::Connection&) override;      // the time to stop, then the time to end
     bool hear_signals();
     void read_again();
+    std::string counts() const;
     void settle();
     void last_answers();
 
--- a/src/run/servers.hpp
+++ b/src/run/servers.hpp
@@ -12,6 +12,7 @@
 // A connection to a server; it carries one shot or probe at a time.
 struct Line : Connection {
     Line(Owner& by, int fd, Server& to);
+    ~Line() override { --server->lines; }
     std::string name() const override { return "server " + server->uid; }
 
     Server* server;
--- a/src/run/shared.hpp
+++ b/src/run/shared.hpp
@@ -19,10 +19,10 @@
 struct Shared {
     Config config;
     Log log;
+    memory::Servers servers;   // outlive the loop's connections to them
     Loop loop;
     memory::Counters counters;
     memory::Calls calls;
-    memory::Servers servers;
     std::unique_ptr<Balancer> balancer;
 
     explicit Shared(Config c) : config(std::move(c)), log(config.log_level), loop(log) {
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -147,7 +147,8 @@
         server.at = *wire::read_endpoint(endpoint);
     }
     const auto is = state == "SERVING" ? State::ready : state == "DRAINING" ? State::draining : State::gone;
-    if (is == State::gone) servers_.close_idle(server, Why::server_left);
+    server.gone = is == State::gone;
+    if (server.gone) servers_.close_idle(server, Why::server_left);
     const Time launched = boot_ms > 0 ? Time{boot_ms / 1000 - clocks_apart_} : long_ago;
     s_.balancer->lists(server.id, zone_number(zone), cell, is, size, launched);
     has_list_ = true;
@@ -157,8 +158,11 @@
 void Watcher::list_ends() {
     if (whole_)
         s_.servers.each([&](memory::Server& server) {
-            if (server.listed_in != lists_) servers_.close_idle(server, Why::server_left);
+            if (server.listed_in == lists_) return;
+            server.gone = true;
+            servers_.close_idle(server, Why::server_left);
         });
+    s_.servers.forget_gone();
     if (!cached_) s_.counters.add(Count::lists_told);
     if (entries_) s_.log.info() << (whole_ ? "whole list, servers: " : "list changes, servers: ") << entries_;
     s_.balancer->list_ends();
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -204,6 +204,21 @@
     CHECK(play.answer_some(60, 0.02).count(bad) > 0);
 }
 
+TEST_CASE("a server that is gone is forgotten, and all held against it, once no shot names it") {
+    const bool names_it = GENERATE(true, false);
+    Play play("Limits.MaxShots=1", 6);
+    play.answer_some(300, 0.01);
+    const auto server = play.call(1, 2);
+    CallId also = 2;
+    while (play.call(also) != server) ++also;
+    play.end(1, Outcome::full);
+    if (!names_it) play.end(also, Outcome::fulfilled);
+    play.list({{server, State::gone}});
+    play.pass(1);
+    play.list({{server}});
+    CHECK((play.answer_some(60, 0.01).count(server) == 0) == names_it);
+}
+
 TEST_CASE("penalties over half the pool and more leave nobody out, and drive no crowd to the last ones") {
     struct Case { int blamed; bool left_out; };
     const auto c = GENERATE(Case{3, true}, Case{4, false}, Case{5, false});
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -84,6 +84,21 @@
     CHECK(one.find(other.named("s-9").id) == nullptr);
 }
 
+TEST_CASE("a server that is gone is forgotten once no connection leads to it") {
+    struct Case { bool gone; int lines; bool known; };
+    const auto c = GENERATE(Case{false, 0, true}, Case{true, 1, true}, Case{true, 0, false});
+    Servers servers;
+    servers.named("s-1");
+    auto& server = servers.named("s-2");
+    const auto id = server.id;
+    server.gone = c.gone;
+    server.lines = c.lines;
+    servers.forget_gone();
+    CHECK((servers.find(id) != nullptr) == c.known);
+    CHECK(servers.size() == (c.known ? 2 : 1));
+    CHECK(servers.named("s-2").id == id);
+}
+
 TEST_CASE("a call is held until it has its answer and its last shot has ended") {
     struct Case { bool client; int out; bool held; };
     const auto c = GENERATE(Case{true, 0, true}, Case{true, 1, true}, Case{false, 1, true}, Case{false, 0, false});
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -588,22 +588,28 @@
     discovery.send(answer(list(8, true, entry(3, at(3)))));    // the others are gone
     CHECK(asked_from("8"));
     CHECK(goes_to(3));
-    for (const auto& trouble : {answer("", "503 Busy"), answer("<html>"), answer(list(9, true, "{}")), std::string("?\r\n")}) {
+    w.signal(SIGUSR1);
+    CHECK(w.logs(" servers_known=2 "));   // until no connection leads there
+    discovery.send(answer(list(9, false, entry(3, at(3)))));
+    CHECK(asked_from("9"));
+    w.signal(SIGUSR1);
+    CHECK(w.logs(" servers_known=1 "));
+    for (const auto& trouble : {answer("", "503 Busy"), answer("<html>"), answer(list(10, true, "{}")), std::string("?\r\n")}) {
         discovery.send(trouble);   // fails this call only
         discovery = w.discovery.accept();
-        CHECK(asked_from("8"));
+        CHECK(asked_from("9"));
     }
     CHECK(goes_to(3));
-    discovery.send(answer(list(9, false, ""), "200 OK", "Connection: close\r\n"));
+    discovery.send(answer(list(10, false, ""), "200 OK", "Connection: close\r\n"));
     discovery = w.discovery.accept();
-    CHECK(asked_from("9"));
-    discovery.send(answer(list(10, false, "")));
     CHECK(asked_from("10"));
+    discovery.send(answer(list(11, false, "")));
+    CHECK(asked_from("11"));
     const double closed = clock_now();
     discovery.close();             // between two calls: no failure
     discovery = w.discovery.accept();
     CHECK(clock_now() - closed < 0.2);
-    CHECK(asked_from("10"));
+    CHECK(asked_from("11"));
     CHECK(goes_to(3));
 }
 
