Leave shots that hang, while later ones are answered, out of the room

Ruled out: reused or new connections (the same share on both, whatever the rest), single servers, classes, penalties (2 of 9), failed connects. At fault: Fleet::has_room and choose, which take all shots held for a queue; as answers/s falls with those let in, it jams. Now: a shot out longer than 0.6 of the tightest SLO and three times the server's answers lately, and overtaken, takes no room.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -144,7 +144,7 @@
         for (auto* s : members_) {
             auto& side = sides_[far(*s)];
             side.floor += std::max(1.0, share()) / members_.size();
-            side.held += s->held();
+            side.held += queue(*s);
             if (!s->quarantined && !penalised(*s)) side.strength += strength(*s);
             earn(*s);
         }
@@ -186,6 +186,7 @@
                 side.lately.add(desk_.now, answers);
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
+                s.record.add(desk_.now, replied, took);
                 return;
             case Outcome::errored: heard(s); [[fallthrough]];
             case Outcome::reset: return blame(s, stands_out(s));
@@ -353,10 +354,19 @@
     // balancer has no rate to go by: then one call a member. Where each server has many balancers, a few
     // calls above the mean are chance: so there is slack of up to three roots of the room, less the longer
     // the shots of the last 2 s took (two instant ones, and none over the SLO, counted).
+    // Guards against a few calls that hang or are heavy shutting out all others: one that is out longer than
+    // may be waited, and three times what answers lately took there, is no queue once a later one came.
+    double queue(Server& s) const {
+        const double n = std::max(1.0, s.record.total(desk_.now, answered));
+        const Span mean{s.record.total(desk_.now, replied) / n};
+        const Time by = std::min(s.answered_sent, desk_.now - std::max(least_slo_ * most_wait, mean * 3));
+        const auto stuck = [by](auto* shot) { return shot->sent <= by; };
+        return s.held() - std::count_if(s.open.begin(), s.open.end(), stuck);
+    }
     bool has_room(Server& s) const {
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
-        if (s.held() >= std::max(1.0, own)) return false;
+        if (queue(s) >= std::max(1.0, own)) return false;
         return desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room);
     }
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -54,7 +54,7 @@
     bool out() const { return !shots.empty() && shots.back().out; }   // there is never more than one
 };
 
-enum Tally { answered, failed, spent, expected, tallies };
+enum Tally { answered, replied, failed, spent, expected, tallies };   // `replied`: seconds of the answered
 
 struct Server {
     uint64_t id = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -219,6 +219,22 @@
     CHECK((play.answer_some(60, 0.01).count(server) == 0) == names_it);
 }
 
+TEST_CASE("calls that hang shut out no others once a later one was answered") {
+    struct Case { double answers_take; bool overtaken, let_in; };
+    const auto c = GENERATE(Case{0.03, true, true}, Case{0.03, false, false},
+                            Case{0.4, true, false});   // where all take long, they are a queue
+    Play play("Limits.Probing=false", 1);
+    play.answer_some(60, c.answers_take);
+    CallId id = 1;
+    while (play.call(id)) ++id;   // until the room is full
+    play.pass(0.8);
+    if (c.overtaken) play.end(id - 1, Outcome::fulfilled);
+    int let_in = 0;
+    for (CallId more = 100; more < 105; ++more) let_in += play.call(more) != 0;
+    INFO(c.answers_take << ' ' << id << ' ' << let_in);
+    CHECK((let_in > 1) == c.let_in);
+}
+
 TEST_CASE("penalties over half the pool and more leave nobody out, and drive no crowd to the last ones") {
     struct Case { int blamed; bool left_out; };
     const auto c = GENERATE(Case{3, true}, Case{4, false}, Case{5, false});
