Answer with Connection: close where many client connections stand idle

Checked, with each call and answer logged: 75 calls a second came in of 230 asked for, each on a new connection, with 120 to 128 answered ones idle beside it: the application's third of 384 descriptors. Ruled out: the decisions (one in seven rate-limited), the door (0 turned away), the listener, CPU. At fault: Clients::say, which keeps every connection, and rest(), which gives each 2 s.

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -154,7 +154,10 @@
 }
 
 void Clients::say(Client& c, int status, std::string_view body, std::string_view fields) {
-    if (stopping_ || !c.in.empty()) c.last = true;   // more has come before it had its answer
+    // Guards against clients that ask once and keep the connection for good: the application holds only so
+    // many, and would have none left for its next calls until these are closed as idle.
+    const bool crowded = idle_.size() >= s_.most_idle_clients();
+    if (stopping_ || crowded || !c.in.empty()) c.last = true;   // the latter: more has come before this answer
     c.out.push(wire::answer(status, body, !c.last, fields));
     c.http.next();
     c.reader.next();
--- a/src/run/shared.hpp
+++ b/src/run/shared.hpp
@@ -44,6 +44,8 @@
     // Clients never take the descriptors that shots need; there are more of them than calls may be held, so
     // that one too many can be told so.
     size_t most_clients() const { return most_connections() * 3 / 4; }
+    // The application holds a third of the descriptors at most; half of that may stand idle.
+    size_t most_idle_clients() const { return config.sockets / 6; }
     size_t most_calls() const {
         return std::min<size_t>(settings().max_open, most_connections() / 2);
     }
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -739,6 +739,25 @@
     CHECK(status(client.message()) == 200);
 }
 
+TEST_CASE("where many connections stand idle, an answered one is closed at once") {
+    World w;
+    std::vector<Wire> kept;
+    Wire server;
+    for (int i = 0; i < 13; ++i) {   // 64 descriptors: ten may stand idle
+        auto client = w.client();
+        client.send(request("read"));
+        if (!server.open()) server = w.servers[0].accept();
+        server.message();
+        server.send(answer("x"));
+        const auto back = client.message();
+        CHECK(status(back) == 200);
+        CHECK((back.find("Connection: close\r\n") != back.npos) == (i >= 10));
+        CHECK((i < 10 || client.ends()));
+        kept.push_back(std::move(client));
+        wait(rested);
+    }
+}
+
 TEST_CASE("a call that waits to be read keeps its connection, however few descriptors are left") {
     World w;
     auto client = w.client();
