Let in a balancer's share of three calls a server at each server too

Checked in its counters: no call turned away for room, no shot failed; the other proxy refused 6%. Ruled out: the reload itself (refusals before and after alike), penalties (none), shots that hang (4). At fault: Fleet::has_room, where a server is full with one call as long as the rate gives no more, although of fewer than three balancers each has a share of more than one call a server; its bursts met one call a member. Now: a server is full at the share of three calls, as the fleet's limit has it; with three balancers and more nothing changes.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -366,7 +366,7 @@
     bool has_room(Server& s) const {
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
-        if (queue(s) >= std::max(1.0, own)) return false;
+        if (queue(s) >= std::max({1.0, share() / members_.size(), own})) return false;
         return desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room);
     }
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -219,6 +219,16 @@
     CHECK((play.answer_some(60, 0.01).count(server) == 0) == names_it);
 }
 
+TEST_CASE("a balancer's share of three calls a server is let in, at each server too") {
+    struct Case { const char* balancers; size_t let_in, most; };
+    const auto c = GENERATE(Case{"Balancers=1", 18, 3}, Case{"Balancers=2", 9, 2}, Case{"Balancers=6", 3, 1});
+    Play play(c.balancers, 6);
+    play.pass(1.5);   // past its start, and with no answer to go by
+    const auto used = play.leave_open(40);
+    CHECK(used.size() == c.let_in);
+    for (const auto server : used) CHECK(used.count(server) <= c.most);
+}
+
 TEST_CASE("calls that hang shut out no others once a later one was answered") {
     struct Case { double answers_take; bool overtaken, let_in; };
     const auto c = GENERATE(Case{0.03, true, true}, Case{0.03, false, false},
