End a connection on which more came while its answer was still being written

Seen while reading Clients once more: a call that comes before the last answer has left our ring is read into the ring and then waits there, until the connection is closed as idle 2 s later. Checked by a test with a client that does not read its answers: closed after 2.0 s, now at once with the answer's last byte. At fault: Clients::rest, which looks only at the socket. Ruled out: clients that wait for their answer, whose next call can't come before went().

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -169,6 +169,7 @@
 // Between requests.
 void Clients::rest(Client& c) {
     c.since = s_.loop.now();
+    c.last = c.last || !c.in.empty();   // more came while the answer was still being written
     if (c.last) {
         // Closing with bytes unread would reset the connection, and the answer might be lost with it.
         ::shutdown(c.fd, SHUT_WR);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -302,6 +302,26 @@
     CHECK_FALSE(server.ready(0.1));
 }
 
+TEST_CASE("what comes while an answer is still being written ends the connection with it") {
+    World w;
+    auto client = w.client();
+    const std::string body(64 * 1024, 'b');
+    client.send(request("read"));
+    auto server = w.servers[0].accept();
+    int answers = 0;
+    for (; server.ready(0.5) && answers < 400; ++answers) {   // until the system's own buffers hold no more
+        server.message();
+        server.send(answer(body));
+        wait(rested);
+        client.send(request("read"));
+    }
+    REQUIRE(answers < 400);
+    for (int i = 0; i < answers; ++i) REQUIRE(status(client.message()) == 200);
+    const double had_all = clock_now();
+    CHECK(client.ends());
+    CHECK(clock_now() - had_all < 1);
+}
+
 TEST_CASE("an id that is open is one call's alone") {
     World w;
     auto first = w.client(), second = w.client();
