Put sockets, clocks, signals and files behind one interface under the loop

Need: the whole proxy is to run on a virtual clock and network too, from the very object files that the program links, so nothing of src/run may call the system past one seam.

Change: run/home.hpp is that seam, run/posix_home.cpp its only home so far (poll(2), as before). Loop, sides, log and configuration take it; the signal pipe moved into it. Proxy::run is start() and round(), so that others may drive it round by round. No behaviour is changed.

--- a/example/toy_servers.cpp
+++ b/example/toy_servers.cpp
@@ -4,8 +4,6 @@
 //
 // A server answers with its name after 50 ms. Modes: failing answers 500, full turns away what has not run,
 // hung answers nothing, draining is listed as DRAINING, gone is listed though nothing listens there.
-#include <sys/socket.h>
-
 #include <iostream>
 #include <map>
 #include <memory>
@@ -13,6 +11,7 @@
 #include <vector>
 
 #include "run/loop.hpp"
+#include "run/posix_home.hpp"
 #include "wire/endpoint.hpp"
 #include "wire/http.hpp"
 #include "wire/ask.hpp"
@@ -52,13 +51,13 @@
 class Service : public memory::Owner {
 public:
     Service(run::Loop& loop, const std::string& endpoint) : loop_(loop) {
-        const int fd = run::listen_at(*wire::read_endpoint(endpoint));
+        const int fd = loop.home().listen_at(*wire::read_endpoint(endpoint));
         if (fd < 0) throw std::runtime_error("can't listen at " + endpoint);
         loop_.adopt(std::make_unique<Door>(*this, fd));
     }
     void came(Connection& c) override {
         if (c.listens) {
-            for (int fd; (fd = ::accept4(c.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
+            for (int fd; (fd = loop_.home().accept(c.fd)) >= 0;)
                 loop_.adopt(std::make_unique<Peer>(*this, fd));
             return;
         }
@@ -128,8 +127,9 @@
         modes[word.substr(0, word.find('='))] = word.substr(word.find('=') + 1);
     }
     try {
-        run::Log log(run::Level::warning);
-        run::Loop loop(log);
+        run::PosixHome home;
+        run::Log log(run::Level::warning, home);
+        run::Loop loop(log, home);
         std::vector<std::unique_ptr<Service>> services;
         std::string targets;
         for (const char number : {'1', '2', '3'}) {
--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -1,7 +1,5 @@
 #include "run/clients.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <utility>
@@ -53,7 +51,7 @@
 };
 
 bool Clients::open() {
-    const int fd = listen_at(s_.config.listen);
+    const int fd = s_.home.listen_at(s_.config.listen);
     if (fd < 0) return false;
     listener_ = &s_.loop.adopt(std::make_unique<Listener>(*this, fd));
     return true;
@@ -66,7 +64,7 @@
         if (open_ >= s_.most_clients()) room = shed();
         else if (!room) room = make_room_();
         if (room) {
-            const int fd = ::accept4(listener_->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            const int fd = s_.home.accept(listener_->fd);
             if (fd >= 0) {
                 s_.counters.add(Count::connections_from_clients);
                 ++open_;
@@ -172,7 +170,7 @@
     c.last = c.last || !c.in.empty();   // more came while the answer was still being written
     if (c.last) {
         // Closing with bytes unread would reset the connection, and the answer might be lost with it.
-        ::shutdown(c.fd, SHUT_WR);
+        s_.home.end_sending(c.fd);
         c.lingers = true;
         c.in.drop(c.in.size());
         s_.loop.set(c, c.since + (stopping_ ? linger * 0.2 : linger));
@@ -220,7 +218,7 @@
     }
     auto& c = static_cast<Client&>(connection);
     if (c.lingers) return end(c, c.why);
-    if (c.among && still_quiet(c.fd)) return end(c, stopping_ ? Why::stopping : Why::idle);
+    if (c.among && s_.home.still_quiet(c.fd)) return end(c, stopping_ ? Why::stopping : Why::idle);
     if (c.among) return s_.loop.set(c, s_.loop.now() + settles);   // what has come is read in a moment
     if (!c.out.empty()) return end(c, Why::unread);
     refuse(c, 408);
@@ -251,7 +249,7 @@
          {std::pair{&lingering_, speaks_within}, {&silent_, speaks_within}, {&idle_, settles}})
         for (auto* c : *among) {
             if (s_.loop.now() - c->since < least) break;
-            if (!c->lingers && !still_quiet(c->fd)) continue;
+            if (!c->lingers && !s_.home.still_quiet(c->fd)) continue;
             s_.counters.add(Count::connections_shed);
             end(*c, Why::shed);
             return true;
--- a/src/run/config.cpp
+++ b/src/run/config.cpp
@@ -1,7 +1,5 @@
 #include "run/config.hpp"
 
-#include <fstream>
-#include <iterator>
 #include <map>
 #include <vector>
 
@@ -85,7 +83,7 @@
 
 class Keys {
 public:
-    Keys(const std::map<std::string, std::string>& found, Environment environment)
+    Keys(const std::map<std::string, std::string>& found, const Environment& environment)
         : found_(found), environment_(environment) {}
     std::string text(const char* key, const char* variable, const char* otherwise = nullptr) const {
         if (const char* set = variable ? environment_(variable) : nullptr; set && *set) return set;
@@ -110,12 +108,12 @@
 
 private:
     const std::map<std::string, std::string>& found_;
-    Environment environment_;
+    const Environment& environment_;
 };
 
 }  // namespace
 
-Config read_config(std::string text, Environment environment) {
+Config read_config(std::string text, const Environment& environment) {
     wire::ListReader known;
     Flattener flat(known);
     if (!flatten(text, flat)) bad("BALANCER_CONFIG", "is no JSON object");
@@ -148,13 +146,12 @@
     return c;
 }
 
-Config read_config(Environment environment) {
+Config read_config(Home& home, const Environment& environment) {
     const char* path = environment("BALANCER_CONFIG");
     if (!path || !*path) bad("BALANCER_CONFIG", "is not set: it names the configuration file");
-    std::ifstream file(path, std::ios::binary);
-    std::string text(std::istreambuf_iterator<char>(file), {});
-    if (!file) bad("BALANCER_CONFIG", std::string("names a file that can't be read: ") + path);
-    return read_config(std::move(text), environment);
+    auto text = home.file(path);
+    if (!text) bad("BALANCER_CONFIG", std::string("names a file that can't be read: ") + path);
+    return read_config(std::move(*text), environment);
 }
 
 void Config::tell_known(wire::ListSink& sink, uint64_t& rev) const {
--- a/src/run/config.hpp
+++ b/src/run/config.hpp
@@ -3,10 +3,12 @@
 #include <netinet/in.h>
 
 #include <cstdint>
+#include <functional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 
+#include "run/home.hpp"
 #include "run/log.hpp"
 #include "settings.hpp"
 #include "wire/discovery.hpp"
@@ -31,10 +33,10 @@
     std::string text;   // the configuration itself, dropped once the list has been told
 };
 
-using Environment = const char* (*)(const char* name);
+using Environment = std::function<const char*(const char* name)>;
 
 // From the file that BALANCER_CONFIG names; other variables of the environment win over what it says.
-Config read_config(Environment environment);
-Config read_config(std::string text, Environment environment);
+Config read_config(Home& home, const Environment& environment);
+Config read_config(std::string text, const Environment& environment);
 
 }  // namespace myrtleroute::run
--- a/src/run/log.hpp
+++ b/src/run/log.hpp
@@ -1,6 +1,5 @@
 // Log lines on standard error, with a level filter.
 #pragma once
-#include <chrono>
 #include <iomanip>
 #include <iostream>
 #include <optional>
@@ -8,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "run/home.hpp"
+
 namespace myrtleroute::run {
 
 enum class Level { debug, info, warning, error };
@@ -21,7 +22,7 @@
 
 class Log {
 public:
-    explicit Log(Level least, std::ostream& out = std::cerr) : least_(least), out_(out) {}
+    Log(Level least, Home& home, std::ostream& out = std::cerr) : least_(least), home_(home), out_(out) {}
 
     ~Log() { flush(); }
     // Writes the lines collected since: once a round, so that a crowd of them costs little.
@@ -33,10 +34,9 @@
     // Collects a line and passes it on whole when it goes out of scope.
     class Line {
     public:
-        Line(std::string* lines, Level level) : lines_(lines) {
+        Line(std::string* lines, Level level, Home& home) : lines_(lines) {
             if (!lines_) return;
-            const auto now = std::chrono::system_clock::now().time_since_epoch();
-            text_ << std::fixed << std::setprecision(3) << std::chrono::duration<double>(now).count() << ' '
+            text_ << std::fixed << std::setprecision(3) << home.unix_time() << ' '
                   << level_names[static_cast<int>(level)] << ' ';
             text_.unsetf(std::ios::fixed);
         }
@@ -57,7 +57,7 @@
 
     void let(Level least) { least_ = least; }   // from now on
     bool writes(Level level) const { return level >= least_; }
-    Line at(Level level) { return {writes(level) ? &lines_ : nullptr, level}; }
+    Line at(Level level) { return {writes(level) ? &lines_ : nullptr, level, home_}; }
     Line debug() { return at(Level::debug); }
     Line info() { return at(Level::info); }
     Line warning() { return at(Level::warning); }
@@ -65,6 +65,7 @@
 
 private:
     Level least_;
+    Home& home_;
     std::ostream& out_;
     std::string lines_;
 };
--- a/src/run/loop.hpp
+++ b/src/run/loop.hpp
@@ -1,8 +1,5 @@
-// The loop: poll(2) on every connection, the thin driver that moves bytes between sockets and rings, timers.
+// The loop: polls every connection, the thin driver that moves bytes between sockets and rings, timers.
 #pragma once
-#include <poll.h>
-#include <netinet/in.h>
-
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -10,6 +7,7 @@
 #include <vector>
 
 #include "memory/connection.hpp"
+#include "run/home.hpp"
 #include "run/log.hpp"
 #include "time.hpp"
 
@@ -17,8 +15,9 @@
 
 class Loop {
 public:
-    explicit Loop(Log& log);
+    Loop(Log& log, Home& home);
     Time now() const { return now_; }
+    Home& home() const { return home_; }
     size_t connections() const { return polled_.size(); }
 
     template <class C>
@@ -52,6 +51,7 @@
         bool operator<(const Wake& o) const { return at != o.at ? at > o.at : number > o.number; }
     };
     Log& log_;
+    Home& home_;
     Time now_;
     std::vector<pollfd> polled_;
     std::vector<std::unique_ptr<memory::Connection>> connections_;   // by the same places
@@ -62,11 +62,4 @@
     uint64_t next_number_ = 1, next_wake_ = 0;
 };
 
-Time read_clock();
-
-// Descriptors that don't block and are closed on exec; below 0 where it failed.
-int listen_at(const sockaddr_in& at);
-int connect_to(const sockaddr_in& at, bool& at_once);
-bool still_quiet(int fd);   // no bytes and no end have come
-
 }  // namespace myrtleroute::run
--- a/src/run/main.cpp
+++ b/src/run/main.cpp
@@ -1,12 +1,13 @@
-#include <cstdlib>
 #include <iostream>
 
+#include "run/posix_home.hpp"
 #include "run/proxy.hpp"
 
 int main() {
     using namespace myrtleroute::run;
     try {
-        return Proxy(read_config([](const char* name) -> const char* { return std::getenv(name); })).run();
+        PosixHome home;
+        return Proxy(read_config(home, [&](const char* name) { return home.variable(name); }), home).run();
     } catch (const std::exception& trouble) {
         std::cerr << "myrtleroute: " << trouble.what() << '\n';
         return 1;
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -1,11 +1,8 @@
 #include "run/proxy.hpp"
 
-#include <fcntl.h>
 #include <signal.h>
-#include <unistd.h>
 
 #include <cerrno>
-#include <cstdlib>
 #include <cstring>
 #include <sstream>
 
@@ -19,15 +16,6 @@
 // longest client timeout, 3 s at most, and 0.7 s more.
 constexpr Span clients_come{0.5}, most_timeout{3}, beyond_timeout{0.6};
 
-int signal_pipe = -1;
-
-void on_signal(int number) {
-    const int error = errno;
-    const char byte = static_cast<char>(number);
-    [[maybe_unused]] const auto n = ::write(signal_pipe, &byte, 1);
-    errno = error;
-}
-
 struct Signals : memory::Connection {
     Signals(memory::Owner& by, int fd) : Connection(by, fd, 1, 1) { listens = true; }
     std::string name() const override { return "signals"; }
@@ -35,28 +23,35 @@
 
 }  // namespace
 
-Proxy::Proxy(Config config)
-    : s_(std::move(config)), clients_(s_), servers_(s_, clients_), watcher_(s_, servers_) {
+Proxy::Proxy(Config config, Home& home, std::ostream& log)
+    : s_(std::move(config), home, log), clients_(s_), servers_(s_, clients_), watcher_(s_, servers_) {
     clients_.on_full([this] { return servers_.shed() || clients_.shed(); });
 }
 
 int Proxy::run() {
+    if (!start()) return 1;
+    while (round()) {}
+    return 0;
+}
+
+bool Proxy::start() {
     if (!hear_signals() || !clients_.open()) {
         s_.log.error() << "configuration: listen can't be listened to: " << std::strerror(errno);
-        return 1;
+        return false;
     }
     s_.balancer = start_balancer(s_.loop.now(), s_.settings(), s_.config.seed, *this);
     watcher_.tell_known();
     s_.log.info() << s_.config.name << " serves";
-    const auto woken = [this](uint64_t cookie) { s_.balancer->woke(s_.loop.now(), cookie); };
-    const auto after_each = [this] { settle(); };
-    while (phase_ < closed || (phase_ == closed && !clients_.over())) {
-        if (watcher_.has_list()) clients_.ready();
-        s_.loop.round(woken, after_each);
-    }
+    return true;
+}
+
+bool Proxy::round() {
+    if (watcher_.has_list()) clients_.ready();
+    s_.loop.round([this](uint64_t cookie) { s_.balancer->woke(s_.loop.now(), cookie); }, [this] { settle(); });
+    if (phase_ < closed || (phase_ == closed && !clients_.over())) return true;
     last_answers();
     s_.log.info() << s_.config.name << " ends: " << counts();
-    return 0;
+    return false;
 }
 
 // All that was counted, and what is held now.
@@ -69,20 +64,13 @@
 }
 
 bool Proxy::hear_signals() {
-    int ends[2];
-    if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) return false;
-    signal_pipe = ends[1];
-    signals_ = &s_.loop.adopt(std::make_unique<Signals>(*this, ends[0]));
-    struct sigaction action{};
-    action.sa_handler = on_signal;
-    for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) ::sigaction(number, &action, nullptr);
-    action.sa_handler = SIG_IGN;
-    return ::sigaction(SIGPIPE, &action, nullptr) == 0;
+    const int fd = s_.home.hear_signals();
+    if (fd >= 0) signals_ = &s_.loop.adopt(std::make_unique<Signals>(*this, fd));
+    return fd >= 0;
 }
 
 void Proxy::came(memory::Connection& c) {
-    char number = 0;
-    while (::read(c.fd, &number, 1) == 1) {
+    while (const int number = s_.home.next_signal(c.fd)) {
         if (number == SIGUSR1) {
             s_.log.warning() << s_.config.name << " counts: " << counts();
         } else if (number == SIGHUP) {
@@ -102,11 +90,11 @@
 // discovery at the start; the rest holds until the next start. Guards against a file half written or at fault:
 // all stays as it was.
 void Proxy::read_again() {
-    const auto environment = [](const char* name) -> const char* {
-        return std::string_view(name) == "BALANCER_DISCOVERY" ? nullptr : std::getenv(name);
+    const auto environment = [this](const char* name) -> const char* {
+        return std::string_view(name) == "BALANCER_DISCOVERY" ? nullptr : s_.home.variable(name);
     };
     try {
-        const Config fresh = read_config(environment);
+        const Config fresh = read_config(s_.home, environment);
         s_.config.discovery = fresh.discovery;
         s_.config.memory_mb = fresh.memory_mb;
         s_.config.sockets = fresh.sockets;
--- a/src/run/proxy.hpp
+++ b/src/run/proxy.hpp
@@ -9,8 +9,10 @@
 
 class Proxy : public Actions, public memory::Owner {
 public:
-    explicit Proxy(Config config);
-    int run();   // until SIGTERM or SIGINT; the program's exit status
+    Proxy(Config config, Home& home, std::ostream& log = std::cerr);
+    int run();      // until SIGTERM or SIGINT; the program's exit status
+    bool start();   // false: it can't listen
+    bool round();   // one of the loop's; false: it has ended
 
     void send(CallId call, ServerId server, Span try_for) override;
     void cancel(CallId call, int shot) override;
--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -74,13 +74,13 @@
         auto& line = **it++;
         if (line.answered > rested) continue;
         unused(line);
-        if (still_quiet(line.fd)) return &line;
+        if (s_.home.still_quiet(line.fd)) return &line;
         s_.loop.end(line, Why::peer_closed);
     }
     if (s_.loop.connections() >= s_.most_connections() && !shed() && !clients_.shed()) return nullptr;
     bool at_once = false;
-    int fd = connect_to(server->at, at_once);
-    if (fd < 0 && errno == EMFILE && (shed() || clients_.shed())) fd = connect_to(server->at, at_once);
+    int fd = s_.home.connect_to(server->at, at_once);
+    if (fd < 0 && errno == EMFILE && (shed() || clients_.shed())) fd = s_.home.connect_to(server->at, at_once);
     if (fd < 0) {
         // That we have no descriptor left is no server's fault.
         if (errno != EMFILE && errno != ENFILE) otherwise = Outcome::connect_failed;
--- a/src/run/shared.hpp
+++ b/src/run/shared.hpp
@@ -1,7 +1,5 @@
 // What the sides of the proxy share.
 #pragma once
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <memory>
 
@@ -18,6 +16,7 @@
 
 struct Shared {
     Config config;
+    Home& home;
     Log log;
     memory::Servers servers;   // outlive the loop's connections to them
     Loop loop;
@@ -25,13 +24,12 @@
     memory::Calls calls;
     std::unique_ptr<Balancer> balancer;
 
-    explicit Shared(Config c) : config(std::move(c)), log(config.log_level), loop(log) {
+    Shared(Config c, Home& h, std::ostream& lines)
+        : config(std::move(c)), home(h), log(config.log_level, h, lines), loop(log, h) {
         bound_sockets();
     }
     void bound_sockets() {   // by what the system allows
-        rlimit system{};
-        if (::getrlimit(RLIMIT_NOFILE, &system) == 0)
-            config.sockets = std::min<size_t>(config.sockets, system.rlim_cur);
+        config.sockets = std::min(config.sockets, home.most_descriptors());
     }
     const Settings& settings() const { return config.settings; }
     // Descriptors: what is open without being a connection, and a few in hand.
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -1,7 +1,6 @@
 #include "run/watcher.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include "wire/endpoint.hpp"
@@ -34,8 +33,7 @@
 
 Watcher::Watcher(Shared& shared, Servers& servers)
     : s_(shared), servers_(servers), zones_(shared.settings().zones) {
-    const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
-    clocks_apart_ = std::chrono::duration<double>(unix_time).count() - read_clock().s;
+    clocks_apart_ = s_.home.unix_time() - s_.home.now().s;
 }
 
 void Watcher::tell_known() {
@@ -50,7 +48,7 @@
 void Watcher::ask() {
     if (!call_) {
         bool at_once = false;
-        const int fd = connect_to(s_.config.discovery, at_once);
+        const int fd = s_.home.connect_to(s_.config.discovery, at_once);
         if (fd < 0) return no_list();
         auto call = std::make_unique<Call>(*this, fd);
         call->connecting = !at_once;
