--- /dev/null
+++ b/src/lab/chance.hpp
@@ -0,0 +1,33 @@
+// Draws of the lab. Each concern has a stream of its own from the seed, so that leaving out a fault or a call
+// changes as little as possible of the rest.
+#pragma once
+#include <cmath>
+#include <cstdint>
+
+#include "random.hpp"
+
+namespace myrtleroute::lab {
+
+// SplitMix64 (Steele, Lea, Flood 2014): spreads neighbouring seeds and streams.
+constexpr uint64_t mix(uint64_t x) {
+    x += 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+class Chance {
+public:
+    Chance(uint64_t seed, uint64_t stream) : pcg_(mix(seed ^ mix(stream))) {}
+    double share() { return pcg_.share(); }
+    bool yes(double probability) { return share() < probability; }
+    int below(int n) { return static_cast<int>(share() * n); }
+    double between(double a, double b) { return a + (b - a) * share(); }
+    double exponential(double mean) { return -mean * std::log(1 - share()); }
+    uint64_t number() { return static_cast<uint64_t>(pcg_.next()) << 32 | pcg_.next(); }
+
+private:
+    Pcg pcg_;
+};
+
+}  // namespace myrtleroute::lab
--- /dev/null
+++ b/src/lab/held_bytes.cpp
@@ -0,0 +1,46 @@
+#include "lab/held_bytes.hpp"
+
+#include <malloc.h>
+
+#include <cstdlib>
+#include <new>
+
+namespace myrtleroute::lab {
+
+namespace {
+
+thread_local ptrdiff_t* counted = nullptr;
+
+}  // namespace
+
+HeldBytes::HeldBytes(ptrdiff_t& bytes) : before_(counted) { counted = &bytes; }
+HeldBytes::~HeldBytes() { counted = before_; }
+NotHeld::NotHeld() : before_(counted) { counted = nullptr; }
+NotHeld::~NotHeld() { counted = before_; }
+
+}  // namespace myrtleroute::lab
+
+#ifndef __SANITIZE_ADDRESS__   // which has an allocator of its own
+
+void* operator new(std::size_t n) {
+    void* at = std::malloc(n ? n : 1);
+    if (!at) throw std::bad_alloc();
+    if (myrtleroute::lab::counted) *myrtleroute::lab::counted += static_cast<ptrdiff_t>(malloc_usable_size(at));
+    return at;
+}
+void* operator new(std::size_t n, const std::nothrow_t&) noexcept {
+    void* at = std::malloc(n ? n : 1);
+    if (at && myrtleroute::lab::counted)
+        *myrtleroute::lab::counted += static_cast<ptrdiff_t>(malloc_usable_size(at));
+    return at;
+}
+void* operator new[](std::size_t n) { return operator new(n); }
+void operator delete(void* at) noexcept {
+    if (at && myrtleroute::lab::counted) *myrtleroute::lab::counted -= static_cast<ptrdiff_t>(malloc_usable_size(at));
+    std::free(at);
+}
+void operator delete[](void* at) noexcept { operator delete(at); }
+void operator delete(void* at, std::size_t) noexcept { operator delete(at); }
+void operator delete[](void* at, std::size_t) noexcept { operator delete(at); }
+
+#endif
--- /dev/null
+++ b/src/lab/registry.cpp
@@ -0,0 +1,216 @@
+#include "lab/registry.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+#include "wire/ask.hpp"
+#include "wire/text.hpp"
+
+namespace myrtleroute::lab {
+
+std::vector<Entry> Registry::changed(uint64_t from, uint64_t to) const {
+    std::map<std::string, Entry> latest;
+    for (uint64_t i = from; i < to; ++i) latest[changes_[i].entry.uid] = changes_[i].entry;
+    std::vector<Entry> entries;
+    for (const auto& [uid, entry] : latest) entries.push_back(entry);
+    return entries;
+}
+
+std::vector<Entry> Registry::standing(uint64_t rev) const {
+    auto entries = changed(0, rev);
+    std::erase_if(entries, [](auto& e) { return e.state == Entry::State::deleted; });
+    return entries;
+}
+
+uint64_t Registry::rev_at(Time at) const {
+    uint64_t rev = 0;
+    while (rev < changes_.size() && changes_[rev].at <= at) ++rev;
+    return rev;
+}
+
+std::string Registry::words(uint64_t rev, bool whole, const std::vector<Entry>& entries, double epoch) {
+    static constexpr const char* states[] = {"SERVING", "DRAINING", "DELETED"};
+    std::ostringstream out;
+    out << "{\"rev\":" << rev << ",\"all\":" << (whole ? "true" : "false") << ",\"targets\":[";
+    for (const auto& e : entries)
+        out << (&e == &entries[0] ? "" : ",") << "{\"uid\":\"" << e.uid << "\",\"endpoint\":\""
+            << endpoint(server_ip + 1 + static_cast<uint32_t>(e.server)) << "\",\"az\":\"z" << e.server % zones
+            << "\",\"model\":\"lab\",\"pod_group\":0,\"state\":\"" << states[static_cast<int>(e.state)]
+            << "\",\"capacity_hint\":" << 1 + e.server / 2 % 2 << ",\"boot_ms\":"
+            << static_cast<long long>(e.launched.s > 0 ? (epoch + e.launched.s) * 1000 : 0) << '}';
+    out << "]}";
+    return out.str();
+}
+
+std::vector<Oracle::Told> Registry::told(const std::vector<Entry>& entries) {
+    std::vector<Oracle::Told> all;
+    for (const auto& e : entries)
+        all.push_back({e.server, e.uid, e.state == Entry::State::serving, e.launched.s > 0 ? e.launched : long_ago});
+    return all;
+}
+
+struct Discovery::Call : wire::HttpReader {
+    explicit Call(Handle s) : socket(std::move(s)), machine(wire::HttpMachine::Side::ask, *this) {}
+    Handle socket;
+    wire::HttpMachine machine;
+    std::string target;
+    bool waits = false;      // for something new
+    uint64_t from = 0;       // of the registry's changes
+    Time until;
+    struct Said {
+        uint64_t upto;       // bytes on this socket
+        bool whole;
+        std::vector<Oracle::Told> told;
+    };
+    std::deque<Said> said;
+    int start(std::string_view, std::string_view where, std::string_view) override {
+        target = where;
+        return 0;
+    }
+    int field(std::string_view, std::string_view) override { return 0; }
+    void body(std::string_view) override {}
+    std::string_view number(std::string_view key) const {
+        const auto at = target.find(key);
+        if (at == target.npos) return {};
+        const auto text = std::string_view(target).substr(at + key.size());
+        return text.substr(0, text.find('&'));
+    }
+};
+
+Discovery::Discovery(Site& site, Registry& registry, int number, uint64_t first)
+    : site_(site), registry_(registry), number_(number), first_(first), machine_{200 + number},
+      chance_(site.scenario.seed, 0x44495343u + static_cast<uint64_t>(number)) {}
+
+Discovery::~Discovery() = default;
+
+void Discovery::opens() {
+    open_ = true;
+    if (!listener_ && !on(FaultKind::down)) listener_ = site_.net.listen(machine_, *this, address_of(ip(), port));
+}
+
+void Discovery::closes_soon() {
+    open_ = false;
+    if (listener_) site_.net.close(*std::exchange(listener_, nullptr));
+    site_.queue.in({1.5}, [this] {
+        while (!open_ && !calls_.empty()) end(calls_.begin()->first);
+    });
+}
+
+void Discovery::begins(const Fault& fault) {
+    ++on_[static_cast<size_t>(fault.kind)];
+    if (fault.kind == FaultKind::late_list) late_ = fault.how * 5;
+    if (fault.kind != FaultKind::down) return;
+    if (listener_) site_.net.close(*std::exchange(listener_, nullptr));
+    while (!calls_.empty()) end(calls_.begin()->first, fault.how < 0.5);
+}
+
+void Discovery::ends(const Fault& fault) {
+    --on_[static_cast<size_t>(fault.kind)];
+    if (open_) opens();
+    changed();
+}
+
+// Each change is heard of as late as the fault says, also once that is over.
+uint64_t Discovery::visible() const {
+    return registry_.rev_at(site_.queue.now() - Span{on(FaultKind::late_list) ? late_ : 0});
+}
+
+void Discovery::changed() {
+    for (auto& [number, call] : calls_)
+        if (call->waits)
+            site_.queue.in({0.001 + chance_.exponential(0.003) + (on(FaultKind::late_list) ? late_ : 0)},
+                           [this, number = number] {
+                               const auto it = calls_.find(number);
+                               if (it != calls_.end() && it->second->waits) answer(*it->second, false);
+                           });
+}
+
+bool Discovery::watched(int proxy) const {
+    for (const auto& [number, call] : calls_)
+        if (call->waits && call->socket->other && call->socket->other->here->number == proxy) return true;
+    return false;
+}
+
+void Discovery::heard(Socket& socket) {
+    if (socket.state == Socket::State::listening) {
+        while (auto fresh = site_.net.accept(socket)) {
+            fresh->ear = this;
+            calls_[fresh->number] = std::make_unique<Call>(fresh);
+            heard(*fresh);
+        }
+        return;
+    }
+    const auto it = calls_.find(socket.number);
+    if (it == calls_.end()) return;
+    auto& call = *it->second;
+    const auto bytes = site_.net.read_all(socket);
+    std::string_view left = bytes;
+    while (!left.empty() && !call.machine.done() && !call.machine.fault()) left.remove_prefix(call.machine.feed(left));
+    if (socket.fin_in || socket.error || call.machine.fault()) return end(socket.number);
+    if (!call.machine.done()) return;
+    call.machine.next();
+    if (on(FaultKind::silent_list)) return;
+    if (on(FaultKind::no_list)) {
+        if (chance_.yes(0.4)) return end(socket.number, true);
+        return say(call, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    }
+    const auto from = wire::whole<uint64_t>(call.number("from="));
+    const auto hold = wire::whole<uint64_t>(call.number("hold_ms="));
+    call.from = from && *from >= first_ ? std::min(*from - first_, registry_.rev()) : 0;
+    call.waits = from && hold;
+    call.until = site_.queue.now() + Span{static_cast<double>(hold.value_or(0)) / 1000};
+    if (!call.waits) return answer(call, true);
+    if (visible() > call.from) return answer(call, true);
+    site_.queue.at(call.until, [this, number = socket.number] {
+        const auto found = calls_.find(number);
+        if (found != calls_.end() && found->second->waits && site_.queue.now() >= found->second->until)
+            answer(*found->second, true);
+    });
+}
+
+void Discovery::answer(Call& call, bool anyway) {
+    if (on(FaultKind::silent_list)) return;
+    const auto rev = visible();
+    if (!anyway && rev <= call.from) return;
+    const bool whole = !call.waits;
+    call.waits = false;
+    const auto entries = whole ? registry_.standing(rev) : rev > call.from ? registry_.changed(call.from, rev)
+                                                                           : std::vector<Entry>{};
+    auto body = Registry::words(std::max(rev, whole ? rev : call.from) + first_, whole, entries, 1.7e9);
+    if (on(FaultKind::nonsense)) {
+        static constexpr const char* nonsense[] = {"{\"rev\":1,\"all\":true}", "[]", "{\"rev\":\"x\",\"all\":1,\"targets\":[]}",
+                                                   "<html>busy</html>"};
+        if (chance_.yes(0.5)) body = nonsense[chance_.below(4)];
+        else body.resize(body.size() / 2);
+        return say(call, wire::answer(200, body, true));
+    }
+    const auto text = wire::answer(200, body, true);
+    call.said.push_back({call.socket->sent + call.socket->unsent.size() + text.size(), whole, Registry::told(entries)});
+    say(call, text);
+}
+
+void Discovery::say(Call& call, const std::string& text) { site_.net.send(*call.socket, text); }
+
+bool Discovery::has(int proxy, const Socket& proxys_end) {
+    const auto it = proxys_end.other ? calls_.find(proxys_end.other->number) : calls_.end();
+    if (it == calls_.end()) return false;
+    auto& said = it->second->said;
+    while (!said.empty() && proxys_end.got >= said.front().upto) {
+        site_.oracle.list_told(proxy, said.front().whole, said.front().told);
+        site_.oracle.asks(proxy, false);
+        said.pop_front();
+    }
+    return true;
+}
+
+void Discovery::end(uint64_t socket, bool reset) {
+    const auto it = calls_.find(socket);
+    if (it == calls_.end()) return;
+    const auto call = std::move(it->second);
+    calls_.erase(it);
+    if (reset) site_.net.abort(*call->socket);
+    else site_.net.close(*call->socket);
+}
+
+}  // namespace myrtleroute::lab
--- /dev/null
+++ b/src/lab/site.hpp
@@ -0,0 +1,53 @@
+// What the stand-ins of a day share: clock, network, trace, oracle, the site's products and where things live.
+// The figures are the lab's own; they stand for no deployment.
+#pragma once
+#include <array>
+
+#include "lab/chance.hpp"
+#include "lab/net.hpp"
+#include "lab/scenario.hpp"
+#include "lab/trace.hpp"
+#include "model.hpp"
+
+namespace myrtleroute::lab {
+
+struct LabProduct {
+    const char* name;
+    Repeat repeat;
+    double value, slo, timeout, window, work;   // seconds; `work` is the mean of an API call's
+    double share;                               // of the calls
+};
+constexpr std::array<LabProduct, 4> products{{
+    {"look", Repeat::idempotent, 1, 0.35, 1.2, 0, 0.012, 0.4},
+    {"plan", Repeat::idempotent, 4, 0.9, 2.5, 0, 0.06, 0.2},
+    {"hold", Repeat::deduplicated, 3, 0.5, 1.8, 3, 0.02, 0.2},
+    {"book", Repeat::non_idempotent, 6, 0.6, 2, 0, 0.02, 0.2},
+}};
+
+// The guarantees of the lab's site, as the proxies are told them.
+constexpr Span drain_grace{3}, cold_window{2}, warm_after{9}, answer_grace{0.05}, ask_within{8};
+constexpr double start_capacity = 0.3, tip_multiple = 4;
+constexpr int most_shots = 3, zones = 2;
+
+constexpr uint32_t proxy_ip = 10u << 24, server_ip = (10u << 24) + (1u << 16), discovery_ip = (10u << 24) + (2u << 16),
+                   client_ip = (10u << 24) + (3u << 16);
+constexpr uint16_t port = 5000;
+
+std::string endpoint(uint32_t ip);
+// The configuration file of a proxy: `known` is a list in discovery's form.
+std::string configuration(const Scenario& scenario, int proxy, uint64_t seed, uint32_t discovery, const std::string& known);
+
+class Oracle;
+
+struct Site {
+    const Scenario& scenario;
+    Queue& queue;
+    Net& net;
+    Trace& trace;
+    Oracle& oracle;
+    void note(Event what, uint64_t who, uint64_t a = 0, uint64_t b = 0) {
+        trace.note(queue.steps(), queue.now(), what, who, a, b);
+    }
+};
+
+}  // namespace myrtleroute::lab
--- /dev/null
+++ b/src/lab/trace.hpp
@@ -0,0 +1,60 @@
+// What happened, event by event: a digest always, lines of text where somebody reads them. Two runs are the
+// same run exactly if their digests are.
+#pragma once
+#include <xxhash.h>
+
+#include <bit>
+#include <cstdint>
+#include <functional>
+#include <iomanip>
+#include <sstream>
+#include <string>
+
+#include "time.hpp"
+
+namespace myrtleroute::lab {
+
+// Who, a and b of an event, by its kind: see docs/lab.md.
+#define MYRTLEROUTE_LAB_EVENTS(X)                                                                            \
+    X(fault_begins) X(fault_ends) X(call_sent) X(call_taken) X(call_left) X(call_again) X(answer_written)    \
+    X(answer_read) X(shot_begins) X(shot_written) X(shot_closed) X(shot_arrived) X(shot_runs)                \
+    X(shot_executed) X(shot_refused) X(shot_dropped) X(shot_answered) X(told) X(asked) X(round) X(started)   \
+    X(ended) X(killed) X(signal) X(paused) X(tipped) X(connected) X(reset) X(list_changes) X(noise)
+
+enum class Event : uint64_t {
+#define X(name) name,
+    MYRTLEROUTE_LAB_EVENTS(X)
+#undef X
+};
+
+class Trace {
+public:
+    using Sink = std::function<void(Event, uint64_t who, const std::string& line)>;
+    void read_by(Sink sink) { sink_ = std::move(sink); }
+    bool read() const { return sink_ != nullptr; }
+    uint64_t digest() const { return digest_; }
+
+    void note(uint64_t step, Time at, Event what, uint64_t who, uint64_t a = 0, uint64_t b = 0) {
+        const uint64_t record[] = {step, std::bit_cast<uint64_t>(at.s), static_cast<uint64_t>(what), who, a, b};
+        digest_ = XXH64(record, sizeof record, digest_);
+        if (!sink_) return;
+        static constexpr const char* names[] = {
+#define X(name) #name,
+            MYRTLEROUTE_LAB_EVENTS(X)
+#undef X
+        };
+        std::ostringstream line;
+        line << step << ' ' << std::fixed << std::setprecision(6) << at.s << ' '
+             << names[static_cast<size_t>(what)] << ' ' << who << ' ' << a << ' ' << b;
+        sink_(what, who, line.str());
+    }
+    void say(const std::string& line) {   // of a proxy's log; no part of the digest
+        if (sink_) sink_(Event::noise, ~0ULL, line);
+    }
+
+private:
+    uint64_t digest_ = 0;
+    Sink sink_;
+};
+
+}  // namespace myrtleroute::lab
--- /dev/null
+++ b/src/lab/virtual_home.hpp
@@ -0,0 +1,69 @@
+// A proxy's home in the lab: descriptors over the virtual network, the virtual clock, signals and files as the
+// world gives them. It never blocks: a wait with nothing to tell notes until when the proxy would sleep, and
+// the world takes its next round then, or when something is heard.
+#pragma once
+#include <map>
+
+#include "lab/net.hpp"
+#include "run/home.hpp"
+
+namespace myrtleroute::lab {
+
+class VirtualHome : public run::Home, public Ear {
+public:
+    VirtualHome(Queue& queue, Net& net, Machine& machine, std::function<void()> wakened)
+        : queue_(queue), net_(net), machine_(machine), wakened_(std::move(wakened)) {}
+
+    // For the world.
+    static constexpr double epoch = 1.7e9;      // Unix time at 0 of the virtual clock
+    std::map<std::string, std::string> variables, files;
+    static constexpr size_t rlimit = 256;
+    size_t descriptors = rlimit;                // that the process may hold now: less if others are open
+    bool sleeps() const { return sleeps_; }     // after a round: nothing to do before `until`
+    Time until() const { return until_; }
+    void signal(int number);
+    void end_process();                         // as the system does when it is gone
+    size_t open() const { return open_; }       // descriptors that are held
+    size_t to_servers() const;                  // of them
+    size_t accepted() const;
+    bool connecting_to(uint32_t ip) const;
+
+    // For the proxy.
+    Time now() override { return queue_.now(); }
+    double unix_time() override { return epoch + queue_.now().s; }
+    int wait(pollfd* polled, size_t n, int ms) override;
+    int listen_at(const sockaddr_in& at) override;
+    int connect_to(const sockaddr_in& at, bool& at_once) override;
+    int accept(int fd) override;
+    int error_of(int fd) override;
+    ssize_t read(int fd, const iovec* parts, int n) override;
+    ssize_t write(int fd, const iovec* parts, int n) override;
+    bool still_quiet(int fd) override;
+    void end_sending(int fd) override;
+    void close(int fd) override;
+    int hear_signals() override;
+    int next_signal(int fd) override;
+    size_t most_descriptors() override { return rlimit; }
+    const char* variable(const char* name) override;
+    std::optional<std::string> file(const std::string& path) override;
+
+    void heard(Socket&) override { wakened_(); }
+
+private:
+    int take(Handle socket);
+    Socket& at(int fd) { return *table_[static_cast<size_t>(fd)]; }
+    short state_of(const Socket& s) const;
+
+    Queue& queue_;
+    Net& net_;
+    Machine& machine_;
+    std::function<void()> wakened_;
+    std::vector<Handle> table_;                 // by descriptor
+    std::deque<int> signals_;
+    int signal_fd_ = -1;
+    size_t open_ = 0;
+    bool sleeps_ = false;
+    Time until_;
+};
+
+}  // namespace myrtleroute::lab
--- a/src/memory/timers.hpp
+++ b/src/memory/timers.hpp
@@ -22,6 +22,7 @@
 class Timers {
 public:
     bool empty() const { return heap_.empty(); }
+    size_t size() const { return heap_.size(); }
     Timer& first() const { return *heap_.front(); }
     void set(Timer& t, Time at) {
         if (!t.set()) {
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -43,6 +43,12 @@
     connections_.pop_back();
 }
 
+size_t Loop::unwritten() const {
+    size_t n = 0;
+    for (const auto& c : connections_) n += !c->out.empty();
+    return n;
+}
+
 void Loop::end_all(memory::Why why) {
     while (!connections_.empty()) end(*connections_.back(), why);
 }
--- a/src/run/loop.hpp
+++ b/src/run/loop.hpp
@@ -19,6 +19,9 @@
     Time now() const { return now_; }
     Home& home() const { return home_; }
     size_t connections() const { return polled_.size(); }
+    size_t timers() const { return timers_.size(); }
+    size_t unwritten() const;   // connections with bytes that wait to be written
+    size_t wakes() const { return wakes_.size(); }
 
     template <class C>
     C& adopt(std::unique_ptr<C> connection) {
--- a/src/run/proxy.hpp
+++ b/src/run/proxy.hpp
@@ -13,6 +13,7 @@
     int run();      // until SIGTERM or SIGINT; the program's exit status
     bool start();   // false: it can't listen
     bool round();   // one of the loop's; false: it has ended
+    Shared& state() { return s_; }   // to look at from outside
 
     void send(CallId call, ServerId server, Span try_for) override;
     void cancel(CallId call, int shot) override;
