--- a/src/lab/application.cpp
+++ b/src/lab/application.cpp
@@ -35,8 +35,8 @@
     void body(std::string_view bytes) override { text.append(bytes); }
 };
 
-Application::Application(Site& site, int proxy, std::set<uint64_t> left_out)
-    : site_(site), proxy_(proxy), left_out_(std::move(left_out)), machine_{300 + proxy},
+Application::Application(Site& site, int proxy)
+    : site_(site), proxy_(proxy), machine_{300 + proxy},
       chance_(site.scenario.seed, 0x4150504cu + static_cast<uint64_t>(proxy)),
       arrivals_(site.scenario.seed, 0x41525256u + static_cast<uint64_t>(proxy)) {
     if (site_.scenario.calls_a_second > 0) site_.queue.in({0.3}, [this] { next_call(); });
@@ -57,6 +57,11 @@
     while (!idle_.empty()) leave(idle_.back());
 }
 
+bool Application::left_out(uint64_t number) const {
+    const auto& ranges = site_.scenario.left_out;
+    return std::any_of(ranges.begin(), ranges.end(), [number](auto& r) { return r.first <= number && number <= r.second; });
+}
+
 void Application::next_call() {
     if (stopped_) return;
     call_on(idle_.empty() ? 0 : chance_.yes(0.2) ? idle_.front() : idle_.back());
@@ -66,7 +71,7 @@
 // On that connection, or on a new one.
 void Application::call_on(uint64_t socket) {
     const auto number = static_cast<uint64_t>(proxy_) * calls_a_proxy + ++made_;
-    if (!left_out_.count(number)) make(number, socket);
+    if (!left_out(number)) make(number, socket);
 }
 
 void Application::make(uint64_t number, uint64_t idle) {
--- a/src/lab/application.hpp
+++ b/src/lab/application.hpp
@@ -2,7 +2,6 @@
 // clients that misbehave.
 #pragma once
 #include <map>
-#include <set>
 
 #include "lab/oracle.hpp"
 
@@ -10,7 +9,7 @@
 
 class Application : public Ear {
 public:
-    Application(Site& site, int proxy, std::set<uint64_t> left_out);
+    Application(Site& site, int proxy);
     ~Application() override;
     void begins(const Fault& fault);
     void ends(const Fault& fault);
@@ -24,6 +23,7 @@
     struct Conn;
     bool on(FaultKind kind) const { return on_[static_cast<size_t>(kind)] > 0; }
     double how(FaultKind kind) const { return how_[static_cast<size_t>(kind)]; }
+    bool left_out(uint64_t number) const;
     void next_call();
     void call_on(uint64_t socket);
     void make(uint64_t number, uint64_t idle);
@@ -37,7 +37,6 @@
 
     Site& site_;
     int proxy_;
-    std::set<uint64_t> left_out_;
     Machine machine_;
     Chance chance_, arrivals_;
     uint64_t made_ = 0;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -47,6 +47,7 @@
     sweeps->add_option("--from", what.from, "the first seed")->required();
     sweeps->add_option("--seeds", what.seeds, "how many")->required()->check(CLI::Range(1, 100'000'000));
     sweeps->add_option("--jobs", what.jobs, "how many at a time")->check(CLI::Range(1, 1024));
+    sweeps->add_flag("--first", what.first, "stop at the first break");
     sweeps->add_option("--record", what.record, "a file for a line a seed: steps, digest and rule");
 
     uint64_t seed = 0, until = 0;
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -21,10 +21,13 @@
     std::deque<std::string> last;
     World world(scenario);
     world.trace().read_by([&](Event what, uint64_t who, const std::string& line) {
-        const bool fault = what == Event::fault_begins || what == Event::fault_ends;
+        // Of the calls concerned; where none is, what befell the site and the proxies.
         const bool ours = std::find(broken.calls.begin(), broken.calls.end(), who) != broken.calls.end();
-        const bool log = what == Event::noise && who == ~0ULL;
-        if (broken.calls.empty() ? log && !fault : !ours) return;
+        const bool site = what == Event::fault_begins || what == Event::fault_ends || what == Event::told ||
+                          what == Event::asked || what == Event::signal || what == Event::started ||
+                          what == Event::ended || what == Event::killed || what == Event::paused ||
+                          what == Event::list_changes || what == Event::tipped;
+        if (broken.calls.empty() ? !site : !ours) return;
         last.push_back(line);
         if (last.size() > most_lines) last.pop_front();
     });
--- a/src/lab/play.hpp
+++ b/src/lab/play.hpp
@@ -26,6 +26,7 @@
 struct Sweep {
     uint64_t from = 0, seeds = 0;
     unsigned jobs = 1;
+    bool first = false;   // stop at the first break
     size_t most_reports = 5;
     std::string record;   // a file for a line a seed: seed, steps, digest, rule or "kept"; empty = none
 };
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -16,7 +16,7 @@
 #define MYRTLEROUTE_LAB_FAULTS(X)                                                                            \
     X(slow, server, "answers up to 12 times slower")                                                         \
     X(hung, server, "takes calls and connections and does nothing until it is over")                         \
-    X(failing, server, "answers 500 at once; half of the calls have run")                                    \
+    X(failing, server, "answers 500 or a bare 503 at once; half of the calls have run")                                    \
     X(full, server, "turns calls away, provably not run")                                                    \
     X(no_connections, server, "accepts nothing, its queue of connections is full")                           \
     X(dies, server, "its process is killed and comes back cold, at the same address under the same uid")     \
--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -205,7 +205,7 @@
         bool ran = draw.yes(0.5);
         if (ran) ran = site_.oracle.executed(number, slot_);
         site_.oracle.fate(number, *s, ran ? Fate::executed : Fate::unproved);
-        return reply(conn, 500, "");
+        return reply(conn, draw.yes(0.3) ? 503 : 500, "");   // a 503 that does not say it has not run
     }
     site_.oracle.fate(number, *s, Fate::waits);
     waiting_.push_back(job);
--- a/src/lab/sweep.cpp
+++ b/src/lab/sweep.cpp
@@ -25,6 +25,7 @@
             const std::lock_guard lock(together);
             all.add(day.summary);
             day.summary = {};
+            if (day.broken && what.first) next = what.seeds;
             if (day.broken || !what.record.empty()) days.emplace(what.from + n, std::move(day));
             ++played;
             if (played * 10 / what.seeds != (played - 1) * 10 / what.seeds)
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -71,12 +71,8 @@
             applications_[call / calls_a_proxy]->answer_comes(call, when);
         };
     }
-    std::vector<std::set<uint64_t>> left_out(static_cast<size_t>(scenario_.proxies));
-    for (const auto& [first, last] : scenario_.left_out)
-        for (uint64_t n = first; n <= last; ++n)
-            if (n / calls_a_proxy < left_out.size()) left_out[n / calls_a_proxy].insert(n);
     for (int i = 0; i < scenario_.proxies; ++i) {
-        applications_.push_back(std::make_unique<Application>(site_, i, left_out[i]));
+        applications_.push_back(std::make_unique<Application>(site_, i));
         instances_.push_back(std::make_unique<Instance>(trace_, i));
     }
     oracle_.on_discovery_bytes = [this](int proxy, Socket& s) {
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -25,7 +25,7 @@
 
 Proxy::Proxy(Config config, Home& home, std::ostream& log)
     : s_(std::move(config), home, log), clients_(s_), servers_(s_, clients_), watcher_(s_, servers_) {
-    clients_.on_full([this] { return servers_.shed() || clients_.shed(); });
+    clients_.on_full([this] { return servers_.make_room(); });
 }
 
 int Proxy::run() {
--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -77,10 +77,10 @@
         if (s_.home.still_quiet(line.fd)) return &line;
         s_.loop.end(line, Why::peer_closed);
     }
-    if (s_.loop.connections() >= s_.most_connections() && !shed() && !clients_.shed()) return nullptr;
+    if (s_.loop.connections() >= s_.most_connections() && !make_room()) return nullptr;
     bool at_once = false;
     int fd = s_.home.connect_to(server->at, at_once);
-    if (fd < 0 && errno == EMFILE && (shed() || clients_.shed())) fd = s_.home.connect_to(server->at, at_once);
+    if (fd < 0 && errno == EMFILE && make_room()) fd = s_.home.connect_to(server->at, at_once);
     if (fd < 0) {
         // That we have no descriptor left is no server's fault.
         if (errno != EMFILE && errno != ENFILE) otherwise = Outcome::connect_failed;
@@ -272,6 +272,8 @@
     }
 }
 
+bool Servers::make_room() { return shed() || clients_.shed(); }
+
 bool Servers::shed() {
     if (idle_.empty()) return false;
     auto& line = *idle_.back();
--- a/src/run/servers.hpp
+++ b/src/run/servers.hpp
@@ -41,6 +41,7 @@
     void probe(ServerId server);
     void close_idle(memory::Server& server, memory::Why why);
     bool shed();
+    bool make_room();   // ends a connection that can go, of either side
     void settle();    // tells the decisions what ended inside of their own actions
     bool settled() const { return ended_.empty(); }
 
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -1,6 +1,7 @@
 #include "run/watcher.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include "wire/endpoint.hpp"
@@ -48,7 +49,9 @@
 void Watcher::ask() {
     if (!call_) {
         bool at_once = false;
-        const int fd = s_.home.connect_to(s_.config.discovery, at_once);
+        int fd = s_.home.connect_to(s_.config.discovery, at_once);
+        // Guards against drains that go unheard while descriptors are out: the list comes before what is idle.
+        if (fd < 0 && errno == EMFILE && servers_.make_room()) fd = s_.home.connect_to(s_.config.discovery, at_once);
         if (fd < 0) return no_list();
         auto call = std::make_unique<Call>(*this, fd);
         call->connecting = !at_once;
