Compare lines with something out against what proxies have read, and tighten the lab's site

Need: a proxy's idle connections were only counted together with the busy ones; and planted faults showed that the lab's site forgave too much: its deduplication window was longer than any call lives, its cold servers hardly tipped.

Window 0.5 s, tip multiple 2, start capacity 0.2.

--- a/src/lab/net.cpp
+++ b/src/lab/net.cpp
@@ -138,7 +138,7 @@
                 hear(*other);
             });
         }
-        if (s.here->proxy && tap_) tap_->took(s);
+        if (s.here->proxy && tap_) tap_->took(s, {into, count});
         return static_cast<ssize_t>(count);
     }
     if (s.error) {
--- a/src/lab/net.hpp
+++ b/src/lab/net.hpp
@@ -68,7 +68,7 @@
 public:
     virtual ~Tap() = default;
     virtual void wrote(Socket&, std::string_view bytes) = 0;
-    virtual void took(Socket&) = 0;            // bytes were read
+    virtual void took(Socket&, std::string_view bytes) = 0;   // were read
     virtual void came(Socket&) = 0;            // bytes have come and may be read
     virtual void closing(Socket&) = 0;         // by the proxy, or at its end
     virtual void opened(Socket&) = 0;          // a connect of the proxy's begins
--- a/src/lab/oracle.cpp
+++ b/src/lab/oracle.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "wire/ask.hpp"
 #include "wire/text.hpp"
@@ -79,6 +80,10 @@
     Time begun;
     uint64_t call = 0;        // whose shot is being written or is out
     int shot = -1;            // < 0: none
+    // What the proxy has read of the answer to it, and whether it still waits for more.
+    Reader heard;
+    wire::HttpMachine answer{wire::HttpMachine::Side::answer, heard};
+    bool busy = false;
 };
 
 Oracle::Oracle(Queue& queue, Trace& trace, const Scenario& scenario)
@@ -271,6 +276,7 @@
         if (!c.machine.begun()) {
             c.begun = queue_.now();
             c.shot = -1;
+            if (c.asks && !std::exchange(c.busy, true)) ++proxies_[c.proxy].busy;
             c.reader.head = c.asks ? std::function<void()>([this, &c, &s] { shot_begins(c, s); }) : nullptr;
         }
         bytes.remove_prefix(c.machine.feed(bytes));
@@ -371,11 +377,19 @@
     note(Event::connected, static_cast<uint64_t>(s.here->number), s.remote >> 16, s.number);
 }
 
-void Oracle::took(Socket& s) {
+void Oracle::took(Socket& s, std::string_view bytes) {
     if (s.local == 0) {
         const auto it = conns_.find(s.number);
-        if (it == conns_.end() || it->second->shot < 0) return;
-        const auto& shot = call(it->second->call)->shots[static_cast<size_t>(it->second->shot)];
+        if (it == conns_.end() || !it->second->busy) return;
+        auto& c = *it->second;
+        c.answer.feed(bytes);
+        if (c.answer.done()) {
+            c.answer.next();
+            c.busy = false;
+            --proxies_[c.proxy].busy;
+        }
+        if (c.shot < 0) return;
+        const auto& shot = call(c.call)->shots[static_cast<size_t>(c.shot)];
         if (std::abs((queue_.now() - shot.give_up).s) < 0.0015) summary.met(Hard::answer_before_time_out);
     }
     if (s.local == 0 || !s.other) return;
@@ -433,6 +447,7 @@
     const auto it = conns_.find(s.number);
     if (it == conns_.end()) return;
     auto& c = *it->second;
+    if (c.busy) --proxies_[c.proxy].busy;
     if (c.asks && c.shot >= 0) {
         auto& call = *this->call(c.call);
         auto& shot = call.shots[static_cast<size_t>(c.shot)];
--- a/src/lab/oracle.hpp
+++ b/src/lab/oracle.hpp
@@ -119,9 +119,10 @@
     void short_of_descriptors(int proxy) { proxies_[proxy].was_short = true; }
     Time due(int proxy, Time since, Span within) const;   // later for the pauses in that time
     int calls_open(int proxy) const { return proxies_[proxy].open; }
+    int lines_busy(int proxy) const { return proxies_[proxy].busy; }   // with a shot or probe that was begun
 
     void wrote(Socket& s, std::string_view bytes) override;
-    void took(Socket& s) override;
+    void took(Socket& s, std::string_view bytes) override;
     void came(Socket& s) override;
     void closing(Socket& s) override;
     void opened(Socket& s) override;
@@ -134,7 +135,7 @@
         std::vector<std::pair<Time, Time>> pauses;
         bool dying = false, up = false, asks = false, was_short = false;
         Time asked{};
-        int open = 0;                                      // calls taken that have no answer
+        int open = 0, busy = 0;                            // calls taken that have no answer; see lines_busy
     };
     Conn& conn(const Socket& s);
     void shot_begins(Conn& c, const Socket& s);
--- a/src/lab/registry.cpp
+++ b/src/lab/registry.cpp
@@ -29,7 +29,7 @@
     return rev;
 }
 
-std::string Registry::words(uint64_t rev, bool whole, const std::vector<Entry>& entries, double epoch) {
+std::string Registry::words(uint64_t rev, bool whole, const std::vector<Entry>& entries) {
     static constexpr const char* states[] = {"SERVING", "DRAINING", "DELETED"};
     std::ostringstream out;
     out << "{\"rev\":" << rev << ",\"all\":" << (whole ? "true" : "false") << ",\"targets\":[";
@@ -177,7 +177,7 @@
     call.waits = false;
     const auto entries = whole ? registry_.standing(rev) : rev > call.from ? registry_.changed(call.from, rev)
                                                                            : std::vector<Entry>{};
-    auto body = Registry::words(std::max(rev, whole ? rev : call.from) + first_, whole, entries, 1.7e9);
+    auto body = Registry::words(std::max(rev, whole ? rev : call.from) + first_, whole, entries);
     if (on(FaultKind::nonsense)) {
         static constexpr const char* nonsense[] = {"{\"rev\":1,\"all\":true}", "[]", "{\"rev\":\"x\",\"all\":1,\"targets\":[]}",
                                                    "<html>busy</html>"};
--- a/src/lab/registry.hpp
+++ b/src/lab/registry.hpp
@@ -24,7 +24,7 @@
     std::vector<Entry> changed(uint64_t from, uint64_t to) const;
     uint64_t rev_at(Time at) const;   // what was known then
 
-    static std::string words(uint64_t rev, bool whole, const std::vector<Entry>& entries, double epoch);
+    static std::string words(uint64_t rev, bool whole, const std::vector<Entry>& entries);
     static std::vector<Oracle::Told> told(const std::vector<Entry>& entries);
 
 private:
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -20,13 +20,15 @@
 constexpr std::array<LabProduct, 4> products{{
     {"look", Repeat::idempotent, 1, 0.35, 1.2, 0, 0.012, 0.4},
     {"plan", Repeat::idempotent, 4, 0.9, 2.5, 0, 0.06, 0.2},
-    {"hold", Repeat::deduplicated, 3, 0.5, 1.8, 3, 0.02, 0.2},
+    {"hold", Repeat::deduplicated, 3, 0.5, 1.8, 0.5, 0.02, 0.2},
     {"book", Repeat::non_idempotent, 6, 0.6, 2, 0, 0.02, 0.2},
 }};
 
+constexpr double epoch = 1.7e9;      // Unix time at 0 of the virtual clock; a day starts at 100 s
+
 // The guarantees of the lab's site, as the proxies are told them.
 constexpr Span drain_grace{3}, cold_window{2}, warm_after{9}, answer_grace{0.05}, ask_within{8};
-constexpr double start_capacity = 0.3, tip_multiple = 4;
+constexpr double start_capacity = 0.2, tip_multiple = 2;
 constexpr int most_shots = 3, zones = 2;
 
 constexpr uint32_t proxy_ip = 10u << 24, server_ip = (10u << 24) + (1u << 16), discovery_ip = (10u << 24) + (2u << 16),
--- a/src/lab/virtual_home.cpp
+++ b/src/lab/virtual_home.cpp
@@ -17,6 +17,8 @@
 
 }  // namespace
 
+double VirtualHome::unix_time() { return epoch + queue_.now().s; }
+
 void VirtualHome::signal(int number) {
     signals_.push_back(number);
     wakened_();
@@ -35,6 +37,13 @@
     return n;
 }
 
+size_t VirtualHome::connecting_to_servers() const {
+    size_t n = 0;
+    for (const auto& s : table_)
+        n += s && s->remote >> 16 >= server_ip && s->remote >> 16 < discovery_ip && s->state == State::connecting;
+    return n;
+}
+
 size_t VirtualHome::accepted() const {
     size_t n = 0;
     for (const auto& s : table_) n += s && s->local != 0 && s->state != State::listening;
--- a/src/lab/virtual_home.hpp
+++ b/src/lab/virtual_home.hpp
@@ -15,7 +15,6 @@
         : queue_(queue), net_(net), machine_(machine), wakened_(std::move(wakened)) {}
 
     // For the world.
-    static constexpr double epoch = 1.7e9;      // Unix time at 0 of the virtual clock
     std::map<std::string, std::string> variables, files;
     static constexpr size_t rlimit = 256;
     size_t descriptors = rlimit;                // that the process may hold now: less if others are open
@@ -25,12 +24,13 @@
     void end_process();                         // as the system does when it is gone
     size_t open() const { return open_; }       // descriptors that are held
     size_t to_servers() const;                  // of them
+    size_t connecting_to_servers() const;
     size_t accepted() const;
     bool connecting_to(uint32_t ip) const;
 
     // For the proxy.
     Time now() override { return queue_.now(); }
-    double unix_time() override { return epoch + queue_.now().s; }
+    double unix_time() override;
     int wait(pollfd* polled, size_t n, int ms) override;
     int listen_at(const sockaddr_in& at) override;
     int connect_to(const sockaddr_in& at, bool& at_once) override;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -125,7 +125,7 @@
     const auto entries = registry_.standing(rev);
     told = Registry::told(entries);
     // Numbered as by the discovery that takes calls; lists of another are of no use there.
-    return Registry::words(rev + 1 + discovery_ * 5000, true, entries, VirtualHome::epoch);
+    return Registry::words(rev + 1 + discovery_ * 5000, true, entries);
 }
 
 void World::configure(Instance& i) {
@@ -203,9 +203,14 @@
                                          ", there are " + std::to_string(is));
     };
     breaks(Rule::beliefs, "descriptors", state.loop.connections(), i.home->open());
-    size_t lines = 0, waiting = 0;
-    state.servers.each([&](memory::Server& s) { lines += static_cast<size_t>(s.lines); });
+    size_t lines = 0, idle = 0, waiting = 0;
+    state.servers.each([&](memory::Server& s) {
+        lines += static_cast<size_t>(s.lines);
+        idle += s.idle.size();
+    });
     breaks(Rule::beliefs, "connections to servers", lines, i.home->to_servers());
+    const auto busy = static_cast<size_t>(oracle_.lines_busy(i.number)) + i.home->connecting_to_servers();
+    breaks(Rule::beliefs, "connections to servers with something out", lines - idle, busy);
     state.calls.each([&](memory::Held& call) { waiting += call.client != nullptr; });
     const auto open = static_cast<size_t>(oracle_.calls_open(i.number));
     // An answer counts when it is written whole.
