--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -305,10 +305,16 @@
         return end(job.socket, true);
     }
     if (on(FaultKind::talkative) && draw.yes(how(FaultKind::talkative))) {
-        switch (draw.below(3)) {
-            case 0: text = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + text; break;
-            case 1: text += text; break;
-            default: text += "noise\r\n"; break;
+        const auto more = draw.yes(0.5) ? text : "noise\r\n";
+        if (draw.yes(0.3)) {
+            text = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + text;
+        } else if (draw.yes(0.3) || site_.net.rough > 0 || machine_.delay > 0) {
+            text += more;
+        } else {   // a moment later, but sooner than a connection may be used again
+            site_.queue.in({draw.between(0.0005, 0.003)}, [this, more, socket = job.socket, life = lives_] {
+                const auto it = conns_.find(socket);
+                if (life == lives_ && it != conns_.end()) site_.net.send(*it->second->socket, more);
+            });
         }
     }
     Time comes{};
