--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -111,6 +111,15 @@
         }
         s.faults.push_back(f);
     }
+    // One day in twelve is a crowd's: many proxies with few calls each, and servers that come back cold, which
+    // each of them would find idle.
+    Chance crowd(seed, 0x43524f57);
+    if (crowd.yes(1.0 / 12)) {
+        s.proxies = 24 + crowd.below(25);
+        s.calls_a_second = crowd.between(3, 16);
+        for (const auto kind : {FaultKind::dies, FaultKind::replaced})
+            s.faults.push_back({kind, {crowd.between(2, 15)}, {crowd.between(0.5, 4)}, crowd.below(s.servers), crowd.share()});
+    }
     std::stable_sort(s.faults.begin(), s.faults.end(), [](auto& a, auto& b) { return a.at < b.at; });
     return s;
 }
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -20,7 +20,7 @@
 constexpr std::array<LabProduct, 4> products{{
     {"look", Repeat::idempotent, 1, 0.35, 1.2, 0, 0.012, 0.4},
     {"plan", Repeat::idempotent, 4, 0.9, 2.5, 0, 0.06, 0.2},
-    {"hold", Repeat::deduplicated, 3, 0.5, 1.8, 0.5, 0.02, 0.2},
+    {"hold", Repeat::deduplicated, 3, 0.5, 1.8, 0.15, 0.02, 0.2},
     {"book", Repeat::non_idempotent, 6, 0.6, 2, 0, 0.02, 0.2},
 }};
 
