Say of the lab's load reports what they are: unreadable ones

Need: the list of faults promised late load reports too, which the lab does not have, since the program only logs them.

Change: the text of the kind.

--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -16,7 +16,7 @@
 #define MYRTLEROUTE_LAB_FAULTS(X)                                                                            \
     X(slow, server, "answers up to 12 times slower")                                                         \
     X(hung, server, "takes calls and connections and does nothing until it is over")                         \
-    X(failing, server, "answers 500 or a bare 503 at once; half of the calls have run")                                    \
+    X(failing, server, "answers 500 or a bare 503 at once; half of the calls have run")                      \
     X(full, server, "turns calls away, provably not run")                                                    \
     X(no_connections, server, "accepts nothing, its queue of connections is full")                           \
     X(dies, server, "its process is killed and comes back cold, at the same address under the same uid")     \
@@ -28,7 +28,7 @@
     X(resets, server, "resets connections before, within and after calls")                                   \
     X(spoilt, server, "answers nonsense, lengths that do not fit, or half an answer")                        \
     X(talkative, server, "sends noise or a second answer behind the answer, and 1xx ahead of it")            \
-    X(reports, server, "its load reports are late, or can't be read")                                        \
+    X(reports, server, "its load reports can't be read")                                                     \
     X(edge, server, "answers at the very instant at which the proxy gives the shot up")                      \
     X(far, server, "everything to and from it takes up to 80 ms longer")                                     \
     X(costly, all, "calls are up to 8 times as heavy as they were")                                          \
