--- a/src/lab/application.hpp
+++ b/src/lab/application.hpp
@@ -17,7 +17,6 @@
     void answer_comes(uint64_t call, Time when);   // to the proxy
     void stops();                                  // no more calls; idle connections are closed
     void heard(Socket& socket) override;
-    size_t connections() const { return conns_.size(); }
 
 private:
     struct Conn;
--- a/src/lab/oracle.cpp
+++ b/src/lab/oracle.cpp
@@ -133,8 +133,6 @@
     note(Event::call_left, number);
 }
 
-bool Oracle::read_by_proxy(uint64_t number) const { return calls_.at(number)->taken; }
-
 void Oracle::answered(uint64_t number, int status, const std::string& body) {
     note(Event::answer_read, number, status);
     if (status == 200 && !body.starts_with("done " + std::to_string(number) + " "))
--- a/src/lab/oracle.hpp
+++ b/src/lab/oracle.hpp
@@ -87,7 +87,6 @@
     void sent(uint64_t number, int proxy, int product, const Socket& client);
     void sent_again(uint64_t number, const Socket& client);
     void left(uint64_t number);
-    bool read_by_proxy(uint64_t number) const;
     void answered(uint64_t number, int status, const std::string& body);   // as the client read it
     void stranger(const Socket& client) { strangers_.insert(client.number); }
 
