Take a server's size from the highest live weight, not the latest

Cause: the list's live weight is size over (1 + calls held a core), late and alike for all balancers. Fleet::lists took it as the size, so load counted twice (own calls and weight), all balancers turned to the same servers at once, and half of the servers tipped before 0:08. Ruled out: unequal balancers (3.4 to 3.7 thousand calls each of 35).

Change: where Weights is live the size is the highest weight since the server's start.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -89,7 +89,9 @@
         slot->zone = zone;
         slot->cell = cell;
         slot->state = state;
-        slot->size = size > 0 ? size : 1;
+        if (size <= 0) size = 1;
+        // A live weight is the size only while the server holds nothing.
+        slot->size = desk_.set.live_weights && slot->launched >= launched ? std::max(slot->size, size) : size;
         if (launched <= slot->launched) return;
         slot->launched = launched;
         slot->credit = desk_.chance.share();   // so that balancers' turns at it are spread
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -60,7 +60,7 @@
     uint64_t id = 0;
     uint16_t zone = 0, cell = 0;
     State state = State::ready;
-    double size = 1;               // capacity hint, comparable between servers
+    double size = 0;               // capacity hint, comparable between servers
     Time launched = long_ago;      // last start that was listed
     double credit = 0;             // of a cold one: a call may go there when it reaches 1
     Time penalty_until = long_ago;
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -18,6 +18,7 @@
     std::vector<double> allowances;   // API calls a second a tenant may make across all balancers
     int balancers = 1, me = 0;
     uint16_t zone = 0;
+    bool live_weights = false;        // the list's sizes fall with the calls that servers hold
     bool pushed = true, probing = false, cancel = false, retry_after = false;
     int max_shots = 1;
     Span max_retry_after, ask_within, warm_after;
@@ -55,6 +56,7 @@
         s.me = count("Me", number("Me"));
         s.zone = static_cast<uint16_t>(count("Locality", number("Locality", 0)));
         s.pushed = one_of("Discovery", {"pushed", "on_request"}) == 0;
+        s.live_weights = text_or("Weights", "none") == "live";
         s.probing = yes("Limits.Probing");
         s.cancel = yes("Limits.Cancel");
         s.retry_after = yes("Limits.RetryAfter");
@@ -94,6 +96,9 @@
         if (it == found_.end()) throw std::runtime_error("setting " + path + " is missing");
         return it->second;
     }
+    std::string text_or(const std::string& path, const char* otherwise) const {
+        return found_.count(path) ? text(path) : otherwise;
+    }
     double number(const std::string& path) const {
         const auto& value = text(path);
         double n = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -488,3 +488,13 @@
     }
     CHECK(seen[0] == seen[1]);
 }
+
+TEST_CASE("a live weight lowered by calls in flight does not make a server look small") {
+    const auto live = GENERATE(true, false);
+    Play play(live ? "Weights=live" : "Weights=rough", 0);
+    play.list({{1}, {2}}, true);
+    play.answer_some(50, 0.02);
+    play.list({{1, State::ready, long_ago, 0, 0, 0.2}});
+    const auto used = play.leave_open(8);
+    CHECK(used.count(1) == (live ? 4 : 1));
+}
--- a/tests/play.hpp
+++ b/tests/play.hpp
@@ -45,10 +45,11 @@
         State state = State::ready;
         Time launched = long_ago;
         uint16_t zone = 0, cell = 0;
+        double size = 1;
     };
     void list(const std::vector<Listed>& entries, bool whole = false) {
         balancer->list_starts(now, whole, false);
-        for (const auto& e : entries) balancer->lists(e.id, e.zone, e.cell, e.state, 1, e.launched);
+        for (const auto& e : entries) balancer->lists(e.id, e.zone, e.cell, e.state, e.size, e.launched);
         balancer->list_ends();
     }
     // Lets time pass and wakes what asked for it, in order.
