--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -15,6 +15,11 @@
 
 namespace myrtleroute {
 namespace {
+constexpr double KA = 0;
+constexpr double KF = 3;
+constexpr double KB = 1;
+constexpr double KC = 0;
+
 
 // The design's figures. Spans and counts that settings give are used as ratios where they are needed.
 constexpr Span interval{10};                       // between resizes of the pool
@@ -92,6 +97,7 @@
         if (size <= 0) size = 1;
         // A live weight is the size only while the server holds nothing.
         slot->size = desk_.set.live_weights && slot->launched >= launched ? std::max(slot->size, size) : size;
+        slot->crowd = slot->size / size - 1;
         if (launched <= slot->launched) return;
         slot->launched = launched;
         slot->credit = desk_.chance.share();   // so that balancers' turns at it are spread
@@ -119,7 +125,7 @@
         refill();
     }
     double share() const { return 3.0 * order_.size() / desk_.set.balancers; }
-    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(share()))); }
+    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(KF / 3 * share()))); }
     void resize() {
         const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
         target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
@@ -131,7 +137,7 @@
     // members are for when no other is left; when no member may take it, any listed server beats no answer.
     // Guards against driving all calls to the last few when failures are wide (connections that break, spoilt
     // answers): with over half the pool penalised, penalties tell nothing and do not count.
-    Server* choose(const Call& c) {
+    Server* choose(Call& c) {
         const auto blamed = [this](auto* s) { return desk_.now < s->penalty_until; };
         wide_ = 2 * std::count_if(members_.begin(), members_.end(), blamed) > std::ssize(members_);
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
@@ -150,6 +156,7 @@
             if (!s->quarantined && !penalised(*s)) side.strength += strength(*s);
             earn(*s);
         }
+        if (desk_.set.warm_keys && c.key) favour(c);
         bool full = false;
         for (const auto* among : {&members_, &order_})
             for (const bool last : {false, true})
@@ -339,6 +346,21 @@
     double relative_size(const Server& s) const {
         return s.size * std::max<size_t>(1, members_.size()) / std::max(size_sum_, s.size);
     }
+    static double draw(uint64_t key, const Server& s) {
+        uint64_t x = key * 0x9e3779b97f4a7c15ULL ^ s.id;
+        x = (x ^ (x >> 31)) * 0xbf58476d1ce4e5b9ULL;
+        x = (x ^ (x >> 29)) * 0x94d049bb133111ebULL;
+        return ((x ^ (x >> 32)) >> 11) * 0x1p-53;
+    }
+    void favour(Call& c) const {
+        double most = 0;
+        c.favourite = nullptr;
+        for (auto* s : members_) {
+            if (!s->member || warm_share(*s) < 1 || s->quarantined || penalised(*s)) continue;
+            const double d = std::pow(draw(c.key, *s), 1 / strength(*s));
+            if (d > most) most = d, c.favourite = s;
+        }
+    }
     double strength(const Server& s) const { return s.size * warm_share(s); }
     // No cold server pushed over by hundreds of balancers: with each call placed it earns its warm share of a
     // turn, times half of what the rule allows, so all together keep the rule and one alone need not know the
@@ -401,7 +423,7 @@
             if (cost > least) continue;
             if (cost < least) tied = 0;
             // Idle members tie whatever their size; a cold one takes its turn.
-            const double weight = warm < 1 ? s->size * order_.size() * penalty_weight : s->size;
+            const double weight = warm < 1 ? s->size * order_.size() * penalty_weight : s->size / std::pow(1 + s->crowd, KC);
             tied += weight;
             if (desk_.chance.share() * tied < weight) best = s;
             least = cost;
@@ -421,8 +443,9 @@
         const bool newcomer = warm >= 1 && desk_.now < s.joined + penalty;
         if (newcomer) own = std::max(own, in_flight_ / members);
         double cost = own / (relative_size(s) * warm);
-        cost += hidden(s, c);
+        cost += hidden(s, c) + KB * s.crowd;
         if (!at_home(s)) cost += price_of_crossing();
+        if (&s == c.favourite) cost -= KA;
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
         return cost;
@@ -575,7 +598,8 @@
     void list_ends() override { fleet_.list_ends(); }
     void list_failed(Time now) override { at(now).list_failed(); }
 
-    void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) override {
+    void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience, uint64_t key,
+                      Span work) override {
         desk_.now = now;
         if (product >= desk_.set.products.size()) throw std::runtime_error("unknown product");
         auto [it, fresh] = calls_.try_emplace(id);
@@ -584,6 +608,8 @@
         c.id = id;
         c.product = &desk_.set.products[product];
         c.tenant = tenant;
+        c.key = key;
+        c.work = work;
         c.arrived = now;
         c.give_up = now + patience;
         c.shots.reserve(desk_.set.max_shots);
