--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -17,7 +17,7 @@
 namespace {
 constexpr double KA = 0;
 constexpr double KF = 3;
-constexpr double KB = 1;
+constexpr double KB = 0;
 constexpr double KC = 0;
 
 
@@ -29,7 +29,11 @@
 constexpr Span hair{1e-6};                         // what rounding may take off a wake's time
 constexpr Span most_silence{1};
 constexpr double outstanding = 0.1;                // share of failures above the median's
-constexpr double most_wait = 0.6;                  // of the SLO
+constexpr double MW = 0.6;
+constexpr double most_wait = MW;
+constexpr double KT = 1.3;
+constexpr double KE = 2;
+constexpr double KD = 1;
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
@@ -152,7 +156,7 @@
         for (auto* s : members_) {
             auto& side = sides_[far(*s)];
             side.floor += std::max(1.0, share()) / members_.size();
-            side.held += queue(*s);
+            if (KE < 2 || warm_share(*s) >= 1) side.held += queue(*s);
             if (!s->quarantined && !penalised(*s)) side.strength += strength(*s);
             earn(*s);
         }
@@ -185,7 +189,7 @@
         }
         if (p.took > 0 && (given_up || shot.outcome == Outcome::fulfilled)) {
             s.record.add(desk_.now, spent, took);
-            s.record.add(desk_.now, expected, p.took / relative_size(s));
+            s.record.add(desk_.now, expected, p.took / relative_size(s) / std::pow(warm_share(s), KD));
         }
         switch (shot.outcome) {
             case Outcome::fulfilled:
@@ -356,7 +360,7 @@
         double most = 0;
         c.favourite = nullptr;
         for (auto* s : members_) {
-            if (!s->member || warm_share(*s) < 1 || s->quarantined || penalised(*s)) continue;
+            if (!at_home(*s) || warm_share(*s) < 1 || s->quarantined || penalised(*s)) continue;
             const double d = std::pow(draw(c.key, *s), 1 / strength(*s));
             if (d > most) most = d, c.favourite = s;
         }
@@ -369,7 +373,7 @@
         const double warm = warm_share(s);
         if (warm >= 1) return;
         if (s.credit >= 1) s.credit -= 1;
-        s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple / 2;
+        s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple / KT;
     }
     // By Little's law a call that joins those held at a server is answered after about their number over the
     // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
@@ -391,6 +395,7 @@
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
         if (queue(s) >= std::max({1.0, share() / members_.size(), own})) return false;
+        if (KE && warm_share(s) < 1) return true;
         return desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room);
     }
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
