--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -15,11 +15,6 @@
 
 namespace myrtleroute {
 namespace {
-constexpr double KA = 0;
-constexpr double KF = 3;
-constexpr double KB = 0;
-constexpr double KC = 0;
-
 
 // The design's figures. Spans and counts that settings give are used as ratios where they are needed.
 constexpr Span interval{10};                       // between resizes of the pool
@@ -29,11 +24,7 @@
 constexpr Span hair{1e-6};                         // what rounding may take off a wake's time
 constexpr Span most_silence{1};
 constexpr double outstanding = 0.1;                // share of failures above the median's
-constexpr double MW = 0.6;
-constexpr double most_wait = MW;
-constexpr double KT = 1.3;
-constexpr double KE = 2;
-constexpr double KD = 1;
+constexpr double most_wait = 0.6;                  // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
@@ -101,7 +92,6 @@
         if (size <= 0) size = 1;
         // A live weight is the size only while the server holds nothing.
         slot->size = desk_.set.live_weights && slot->launched >= launched ? std::max(slot->size, size) : size;
-        slot->crowd = slot->size / size - 1;
         if (launched <= slot->launched) return;
         slot->launched = launched;
         slot->credit = desk_.chance.share();   // so that balancers' turns at it are spread
@@ -129,7 +119,7 @@
         refill();
     }
     double share() const { return 3.0 * order_.size() / desk_.set.balancers; }
-    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(KF / 3 * share()))); }
+    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(share()))); }
     void resize() {
         const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
         target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
@@ -141,7 +131,7 @@
     // members are for when no other is left; when no member may take it, any listed server beats no answer.
     // Guards against driving all calls to the last few when failures are wide (connections that break, spoilt
     // answers): with over half the pool penalised, penalties tell nothing and do not count.
-    Server* choose(Call& c) {
+    Server* choose(const Call& c) {
         const auto blamed = [this](auto* s) { return desk_.now < s->penalty_until; };
         wide_ = 2 * std::count_if(members_.begin(), members_.end(), blamed) > std::ssize(members_);
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
@@ -156,11 +146,10 @@
         for (auto* s : members_) {
             auto& side = sides_[far(*s)];
             side.floor += std::max(1.0, share()) / members_.size();
-            if (KE < 2 || warm_share(*s) >= 1) side.held += queue(*s);
+            side.held += queue(*s);
             if (!s->quarantined && !penalised(*s)) side.strength += strength(*s);
             earn(*s);
         }
-        if (desk_.set.warm_keys && c.key) favour(c);
         bool full = false;
         for (const auto* among : {&members_, &order_})
             for (const bool last : {false, true})
@@ -189,7 +178,7 @@
         }
         if (p.took > 0 && (given_up || shot.outcome == Outcome::fulfilled)) {
             s.record.add(desk_.now, spent, took);
-            s.record.add(desk_.now, expected, p.took / relative_size(s) / std::pow(warm_share(s), KD));
+            s.record.add(desk_.now, expected, p.took / relative_size(s) / warm_share(s));
         }
         switch (shot.outcome) {
             case Outcome::fulfilled:
@@ -350,30 +339,15 @@
     double relative_size(const Server& s) const {
         return s.size * std::max<size_t>(1, members_.size()) / std::max(size_sum_, s.size);
     }
-    static double draw(uint64_t key, const Server& s) {
-        uint64_t x = key * 0x9e3779b97f4a7c15ULL ^ s.id;
-        x = (x ^ (x >> 31)) * 0xbf58476d1ce4e5b9ULL;
-        x = (x ^ (x >> 29)) * 0x94d049bb133111ebULL;
-        return ((x ^ (x >> 32)) >> 11) * 0x1p-53;
-    }
-    void favour(Call& c) const {
-        double most = 0;
-        c.favourite = nullptr;
-        for (auto* s : members_) {
-            if (!at_home(*s) || warm_share(*s) < 1 || s->quarantined || penalised(*s)) continue;
-            const double d = std::pow(draw(c.key, *s), 1 / strength(*s));
-            if (d > most) most = d, c.favourite = s;
-        }
-    }
     double strength(const Server& s) const { return s.size * warm_share(s); }
-    // No cold server pushed over by hundreds of balancers: with each call placed it earns its warm share of a
-    // turn, times half of what the rule allows, so all together keep the rule and one alone need not know the
-    // others. A turn not taken lapses: turns saved up would be taken all at once in a burst.
+    // No cold server pushed over by hundreds of balancers: with each call it earns its warm share of a turn,
+    // times three quarters of what the rule allows, so all together keep the rule and one alone need not know
+    // the others. A turn not taken lapses: turns saved up would be taken all at once in a burst.
     void earn(Server& s) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
         if (s.credit >= 1) s.credit -= 1;
-        s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple / KT;
+        s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple * 0.75;
     }
     // By Little's law a call that joins those held at a server is answered after about their number over the
     // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
@@ -395,8 +369,10 @@
         const auto& side = sides_[far(s)];
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
         if (queue(s) >= std::max({1.0, share() / members_.size(), own})) return false;
-        if (KE && warm_share(s) < 1) return true;
-        return desk_.now < started_ + most_silence || side.held < std::max(side.floor, side.room);
+        // Guards against cold servers left idle, and cold, while calls are turned away: in a release of the
+        // servers the warm ones hold the room of all, and a cold one's turns bound what it gets.
+        if (warm_share(s) < 1 || desk_.now < started_ + most_silence) return true;
+        return side.held < std::max(side.floor, side.room);
     }
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
     // with more traffic than servers would turn calls away next to idle ones.
@@ -428,7 +404,7 @@
             if (cost > least) continue;
             if (cost < least) tied = 0;
             // Idle members tie whatever their size; a cold one takes its turn.
-            const double weight = warm < 1 ? s->size * order_.size() * penalty_weight : s->size / std::pow(1 + s->crowd, KC);
+            const double weight = warm < 1 ? s->size * order_.size() * penalty_weight : s->size;
             tied += weight;
             if (desk_.chance.share() * tied < weight) best = s;
             least = cost;
@@ -448,9 +424,8 @@
         const bool newcomer = warm >= 1 && desk_.now < s.joined + penalty;
         if (newcomer) own = std::max(own, in_flight_ / members);
         double cost = own / (relative_size(s) * warm);
-        cost += hidden(s, c) + KB * s.crowd;
+        cost += hidden(s, c);
         if (!at_home(s)) cost += price_of_crossing();
-        if (&s == c.favourite) cost -= KA;
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
         return cost;
@@ -603,8 +578,7 @@
     void list_ends() override { fleet_.list_ends(); }
     void list_failed(Time now) override { at(now).list_failed(); }
 
-    void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience, uint64_t key,
-                      Span work) override {
+    void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) override {
         desk_.now = now;
         if (product >= desk_.set.products.size()) throw std::runtime_error("unknown product");
         auto [it, fresh] = calls_.try_emplace(id);
@@ -613,8 +587,6 @@
         c.id = id;
         c.product = &desk_.set.products[product];
         c.tenant = tenant;
-        c.key = key;
-        c.work = work;
         c.arrived = now;
         c.give_up = now + patience;
         c.shots.reserve(desk_.set.max_shots);
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -36,9 +36,7 @@
                        Time launched) = 0;
     virtual void list_ends() = 0;
     virtual void list_failed(Time now) = 0;
-    // `key`: what the call concerns, 0 if not told; `work`: what it is told to cost, 0 if not.
-    virtual void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience,
-                              uint64_t key, Span work) = 0;
+    virtual void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) = 0;
     virtual void client_left(Time now, CallId id) = 0;
     virtual void stream_began(Time now, CallId id, int shot) = 0;
     virtual void shot_ended(Time now, CallId id, int shot, Outcome outcome, bool call_done) = 0;
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -18,7 +18,6 @@
     std::vector<double> allowances;   // API calls a second a tenant may make across all balancers
     int balancers = 1, me = 0;
     uint16_t zone = 0;
-    bool warm_keys = false;           // a server that met a call's key lately has less to do
     bool live_weights = false;        // the list's sizes fall with the calls that servers hold
     bool pushed = true, probing = false, cancel = false, retry_after = false;
     int max_shots = 1;
@@ -57,7 +56,6 @@
         s.me = count("Me", number("Me"));
         s.zone = static_cast<uint16_t>(count("Locality", number("Locality", 0)));
         s.pushed = one_of("Discovery", {"pushed", "on_request"}) == 0;
-        s.warm_keys = found_.count("FamilyInfo.WarmKeys") && yes("FamilyInfo.WarmKeys");
         s.live_weights = text_or("Weights", "none") == "live";
         s.probing = yes("Limits.Probing");
         s.cancel = yes("Limits.Cancel");
