Use the work told ahead: choose by it, expect times by it, refuse what can only be late

Costs are Pareto, so calls of one product that fit the SLO and calls that can't were let in alike (Fleet::choose), counted alike in flight (busyness) and expected to take the same time (ended).

Change: call_arrived has the told work; a call counts in flight by its work over the usual one's; the expected time is work x (seconds that answers of the last 2 s took a second of told work); where the tail counts, a call whose expected time passes the SLO is rate-limited at once. Without hints nothing changes.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -157,6 +157,23 @@
         return nullptr;
     }
 
+    // Work told ahead: a heavy call counts as several in flight. Guards against light calls placed behind it.
+    void weigh(Call& c) {
+        if (c.work <= Span{}) return;
+        usual_work_ += (c.work.s - usual_work_) / (usual_work_ > 0 ? 2 * penalty_weight : 1);
+        c.weight = std::clamp(c.work.s / usual_work_, 0.1, 10.0);
+    }
+    // Seconds that answers lately took for each second of work told ahead, 0 where none is told.
+    double pace() {
+        const double told = paced_.total(desk_.now, 1);
+        return told > 0 ? paced_.total(desk_.now, 0) / told : 0;
+    }
+    // Guards against calls that can only be late, where that costs more than a refusal, holding up others.
+    bool hopeless(const Call& c) {
+        const Span expected = c.work * pace();
+        return desk_.set.tail && expected > Span{} && desk_.now + expected > c.arrived + c.product->slo;
+    }
+
     void sent(Shot& shot) {
         shot.server->open.push_back(&shot);
         note_in_flight(+1);
@@ -169,7 +186,7 @@
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
         // A shot given up mostly still runs or waits there, so it counts until one sent later is answered.
         const bool given_up = shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled;
-        if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back(shot.sent);
+        if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back({shot.sent, shot.call->weight});
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
         if (given_up || shot.outcome == Outcome::fulfilled) {
@@ -178,7 +195,8 @@
         }
         if (p.took > 0 && (given_up || shot.outcome == Outcome::fulfilled)) {
             s.record.add(desk_.now, spent, took);
-            s.record.add(desk_.now, expected, p.took / relative_size(s) / warm_share(s));
+            const double told = shot.call->work.s * pace(), usual = told > 0 ? told : p.took;
+            s.record.add(desk_.now, expected, usual / relative_size(s) / warm_share(s));
         }
         switch (shot.outcome) {
             case Outcome::fulfilled:
@@ -186,6 +204,10 @@
                 s.answered_sent = std::max(s.answered_sent, shot.sent);
                 lay_ghosts(s, shot.sent);
                 side.lately.add(desk_.now, answers);
+                if (shot.call->work > Span{}) {
+                    paced_.add(desk_.now, 0, took);
+                    paced_.add(desk_.now, 1, shot.call->work.s);
+                }
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
                 s.record.add(desk_.now, replied, took);
@@ -202,7 +224,7 @@
     }
 
     void lay_ghosts(Server& s, Time sent_by) {
-        const auto laid = std::erase_if(s.ghosts, [&](Time sent) { return sent <= sent_by; });
+        const auto laid = std::erase_if(s.ghosts, [&](const auto& ghost) { return ghost.sent <= sent_by; });
         note_in_flight(-static_cast<int>(laid));
     }
 
@@ -420,7 +442,7 @@
     }
     double busyness(Server& s, const Call& c, double warm) const {
         const double members = std::max<size_t>(1, members_.size());
-        double own = s.held();
+        double own = s.load();
         const bool newcomer = warm >= 1 && desk_.now < s.joined + penalty;
         if (newcomer) own = std::max(own, in_flight_ / members);
         double cost = own / (relative_size(s) * warm);
@@ -464,6 +486,8 @@
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0, median_share_ = 0;
     bool wide_ = false;           // over half the pool is penalised
+    double usual_work_ = 0;
+    Ring<2> paced_{most_silence * 2};   // what answers took, and the work told of them
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
     enum { answers, shots, time, lanes };
@@ -531,7 +555,7 @@
 public:
     Send(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet) {}
     Step there(Call& c) override {
-        Server* server = fleet_.choose(c);
+        Server* server = fleet_.hopeless(c) ? nullptr : fleet_.choose(c);
         if (!server) return Step::end;
         Shot shot;
         shot.call = &c;
@@ -578,7 +602,8 @@
     void list_ends() override { fleet_.list_ends(); }
     void list_failed(Time now) override { at(now).list_failed(); }
 
-    void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience) override {
+    void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience,
+                      Span work) override {
         desk_.now = now;
         if (product >= desk_.set.products.size()) throw std::runtime_error("unknown product");
         auto [it, fresh] = calls_.try_emplace(id);
@@ -587,9 +612,11 @@
         c.id = id;
         c.product = &desk_.set.products[product];
         c.tenant = tenant;
+        c.work = work;
         c.arrived = now;
         c.give_up = now + patience;
         c.shots.reserve(desk_.set.max_shots);
+        fleet_.weigh(c);
         if (patience <= Span{} || chain_.there(c) == Step::end) answer(c);
         forget_if_over(c);
     }
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -46,6 +46,8 @@
     uint64_t id = 0;
     Product* product = nullptr;
     uint32_t tenant = 0;
+    Span work;                 // what it is told to cost a server, 0 = not told
+    double weight = 1;         // that over the usual call's
     double worth = 0;          // its product's value, less where its tenant is over its allowance
     Time arrived, give_up;
     std::vector<Shot> shots;   // reserved up to the limit at arrival, so that pointers to shots hold
@@ -72,8 +74,18 @@
     bool member = false, quarantined = false, probing = false;
     int offences = 0;              // quarantines since it joined
     std::vector<Shot*> open;
-    std::vector<Time> ghosts;      // when the shots were sent that were given up but that it may still hold
+    struct Ghost {                 // a shot that was given up but that it may still hold
+        Time sent;
+        double weight;
+    };
+    std::vector<Ghost> ghosts;
     size_t held() const { return open.size() + ghosts.size(); }
+    double load() const {          // the same by work, where that is told
+        double sum = 0;
+        for (const auto* shot : open) sum += shot->call->weight;
+        for (const auto& ghost : ghosts) sum += ghost.weight;
+        return sum;
+    }
     Ring<tallies> record;
     explicit Server(Span memory) : record(memory) {}
 };
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -518,3 +518,33 @@
     CHECK((late > 2) == (age < 10));
     CHECK(late < 60);
 }
+
+TEST_CASE("a call that by its told work can only be late is rate-limited at once where that counts") {
+    struct Case { const char* more; double work, pace; bool sent; };   // the SLO is 1 s
+    const auto c = GENERATE(Case{"ObjectiveMix.Tail=0.2", 0.5, 1, true}, Case{"ObjectiveMix.Tail=0.2", 1.2, 1, false},
+                            Case{"ObjectiveMix.Tail=0.2", 0.5, 3, false}, Case{"ObjectiveMix.Tail=0", 1.2, 1, true},
+                            Case{"", 1.2, 1, true}, Case{"ObjectiveMix.Tail=0.2", 0, 3, true});
+    Play play(c.more);
+    for (CallId id = 1; id <= 40; ++id) {
+        play.call(id, 0, 4, 0, 0.05);
+        play.pass(0.05 * c.pace);
+        play.end(id, Outcome::fulfilled);
+    }
+    CHECK((play.call(100, 0, 4, 0, c.work) != 0) == c.sent);
+    CHECK(play.count("rate_limit", 100) == !c.sent);
+}
+
+TEST_CASE("a call counts in flight by the work that it is told to cost") {
+    struct Case { double heavy, light; int beside; };   // light calls that join the heavy one
+    const auto c = GENERATE(Case{0.1, 0.1, 2}, Case{0.5, 0.1, 0}, Case{0, 0, 2});
+    Play play("Balancers=1", 2);
+    for (CallId id = 1; id <= 100; ++id) {
+        play.call(id, 0, 4, 0, 0.1);
+        play.pass(0.02);
+        play.end(id, Outcome::fulfilled);
+    }
+    const auto busy = play.call(1000, 0, 4, 0, c.heavy);
+    int beside = 0;
+    for (CallId id = 1001; id < 1005; ++id) beside += play.call(id, 0, 4, 0, c.light) == busy;
+    CHECK(std::abs(beside - c.beside) <= (c.beside ? 1 : 0));
+}
