--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,7 +24,7 @@
 constexpr Span hair{1e-6};                         // what rounding may take off a wake's time
 constexpr Span most_silence{1};
 constexpr double outstanding = 0.1;                // share of failures above the median's
-constexpr double most_wait = 0.6;                  // of the SLO
+constexpr double most_wait = 0.55;                 // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
@@ -400,7 +400,7 @@
     // with more traffic than servers would turn calls away next to idle ones.
     bool far(const Server& s) const { return !at_home(s) && price_of_crossing() > 1; }
     bool at_home(const Server& s) const { return s.zone == desk_.set.zone; }
-    double price_of_crossing() const { return desk_.set.cross_price * penalty_weight; }   // in calls
+    double price_of_crossing() const { return desk_.set.cross_price * penalty_weight / 2; }   // in calls
     double worthiness(const Call& c) const {
         double best = 0;
         for (const auto& p : desk_.set.products)
