Double the floor of the pool: six servers over balancers

Fleet::floor took three times servers over balancers, found on deployments with hundreds of balancers, where the least of four still rules.

Change: six times.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -119,7 +119,7 @@
         refill();
     }
     double share() const { return 3.0 * order_.size() / desk_.set.balancers; }
-    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(share()))); }
+    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(2 * share()))); }
     void resize() {
         const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
         target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -114,7 +114,7 @@
 }
 
 TEST_CASE("the pool keeps its floor, grows with the calls in flight and shrinks by two an interval") {
-    Play play("Balancers=6", 20);
+    Play play("Balancers=12", 20);
     std::set<ServerId> used;
     for (CallId id = 1; id <= 15; ++id) {
         used.insert(play.call(id));
@@ -127,7 +127,7 @@
     play.answer_some(600, 0.06);                       // three intervals and more
     const auto later = play.answer_some(100, 0.02);
     used = {later.begin(), later.end()};
-    CHECK(used.size() == 10);                          // the floor: 3 x 20 / 6
+    CHECK(used.size() == 10);                          // the floor: 6 x 20 / 12
     play.answer_some(200, 0.02);
     used.clear();
     for (CallId id = 300; id < 330; ++id) used.insert(play.call(id));
