Penalise a server that is full for one product for that product alone

Change: full_until by product, counted unless over three quarters of the members have it; a penalty for all only if the server answered nothing since the shot was sent. Test: a server that turns one product away.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -83,6 +83,7 @@
         auto& slot = known_[id];
         if (!slot) {
             slot = std::make_unique<Server>(penalty);
+            slot->full_until.assign(desk_.set.products.size(), long_ago);
             slot->id = id;
             listed_.push_back(slot.get());
         }
@@ -134,6 +135,8 @@
     Server* choose(const Call& c) {
         const auto blamed = [this](auto* s) { return desk_.now < s->penalty_until; };
         wide_ = 2 * std::count_if(members_.begin(), members_.end(), blamed) > std::ssize(members_);
+        const auto full_for_it = [&](auto* s) { return desk_.now < s->full_until[kind(c)]; };
+        wide_full_ = 4 * std::count_if(members_.begin(), members_.end(), full_for_it) > 3 * std::ssize(members_);
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
         const double wait = all - (desk_.now - c.arrived).s * part;
         for (auto& side : sides_) {
@@ -147,7 +150,7 @@
             auto& side = sides_[far(*s)];
             side.floor += std::max(1.0, share()) / members_.size();
             side.held += queue(*s);
-            if (!s->quarantined && !penalised(*s)) side.strength += strength(*s);
+            if (!s->quarantined && !penalised(*s, c)) side.strength += strength(*s);
             earn(*s);
         }
         bool full = false;
@@ -214,7 +217,12 @@
                 return;
             case Outcome::errored: heard(s); [[fallthrough]];
             case Outcome::reset: return blame(s, stands_out(s));
-            case Outcome::full: heard(s); return blame(s);
+            case Outcome::full:
+                // Guards against servers that turn one product away and answer the others: penalised for all,
+                // they were over half of the pool, so that no penalty counted.
+                s.full_until[kind(*shot.call)] = desk_.now + penalty;
+                heard(s);
+                return blame(s, s.answered_sent < shot.sent);
             case Outcome::connect_failed: lay_ghosts(s, desk_.now); return blame(s);
             case Outcome::timed_out:
                 // A server that answered others meanwhile was not silent: the call itself may be heavy.
@@ -408,14 +416,17 @@
         return best > 0 && c.product->took > 0 ? 0.6 + 0.4 * c.worth / c.product->took / best : 0.6;
     }
 
-    bool penalised(const Server& s) const { return !wide_ && desk_.now < s.penalty_until; }
+    size_t kind(const Call& c) const { return c.product - desk_.set.products.data(); }
+    bool penalised(const Server& s, const Call& c) const {
+        return (!wide_full_ && desk_.now < s.full_until[kind(c)]) || (!wide_ && desk_.now < s.penalty_until);
+    }
     Server* pick(const std::vector<Server*>& among, const Call& c, bool last, bool& full) {
         Server* best = nullptr;
         double least = std::numeric_limits<double>::infinity();
         double tied = 0;
         for (auto* s : among) {
             if (s->quarantined || s->state != State::ready || !may_send(c, *s, desk_.now)) continue;
-            if (penalised(*s) != last) continue;
+            if (penalised(*s, c) != last) continue;
             const double warm = warm_share(*s);
             if (warm < 1 && s->credit < 1) continue;
             if (!has_room(*s)) {
@@ -485,6 +496,7 @@
     size_t target_ = first_size;
     int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
     double size_sum_ = 0, median_share_ = 0;
+    bool wide_full_ = false;      // over three quarters turn the product away
     bool wide_ = false;           // over half the pool is penalised
     double usual_work_ = 0;
     Ring<2> paced_{most_silence * 2};   // what answers took, and the work told of them
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -548,3 +548,29 @@
     for (CallId id = 1001; id < 1005; ++id) beside += play.call(id, 0, 4, 0, c.light) == busy;
     CHECK(std::abs(beside - c.beside) <= (c.beside ? 1 : 0));
 }
+
+TEST_CASE("a server that turns one product away is left out for that product alone") {
+    const int closed = GENERATE(2, 4, 6);              // of 6 servers: at most three quarters are left out
+    Play play("Balancers=1", 6);
+    play.answer_some(120, 0.01);
+    CallId id = 1000;
+    for (int i = 0; i < 200; ++i, ++id) {              // 1 to `closed` turn product 1 away
+        for (int shot = 0; shot < 4; ++shot) {
+            const auto server = shot ? play.last_send(id) : play.call(id, 1);
+            const bool full = static_cast<int>(server) <= closed;
+            play.pass(0.002);
+            play.end(id, full ? Outcome::full : Outcome::fulfilled, shot);
+            if (!full || play.count("send", id) == shot + 1) break;
+        }
+        if (i % 2) play.answer_some(1, 0.002);
+    }
+    int turned_away = 0, other = 0;
+    for (int i = 0; i < 60; ++i, ++id) {
+        turned_away += static_cast<int>(play.call(id, 1)) <= closed;
+        play.end(id, Outcome::fulfilled);
+        other += static_cast<int>(play.call(id + 1000, 0)) <= closed;
+        play.end(id + 1000, Outcome::fulfilled);
+    }
+    CHECK((turned_away == 0) == (closed < 6));
+    CHECK(other > 5 * (closed < 6));
+}
