Let in late calls that the tail bears while there is room; full for all by a silent 5 s

Change: hopeless calls are let in up to ObjectiveMix.BorneMisses of the product's calls of the last 5 s while a third of the room is taken; a full refusal penalises for all where the server answered nothing for 5 s.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -66,6 +66,7 @@
 class Fleet {
 public:
     explicit Fleet(Desk& desk) : desk_(desk), started_(desk.now) {
+        tail_.assign(desk.set.products.size(), Ring<2>(penalty));
         for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
     }
     Server* find(ServerId id) {
@@ -135,8 +136,8 @@
     Server* choose(const Call& c) {
         const auto blamed = [this](auto* s) { return desk_.now < s->penalty_until; };
         wide_ = 2 * std::count_if(members_.begin(), members_.end(), blamed) > std::ssize(members_);
-        const auto full_for_it = [&](auto* s) { return desk_.now < s->full_until[kind(c)]; };
-        wide_full_ = 4 * std::count_if(members_.begin(), members_.end(), full_for_it) > 3 * std::ssize(members_);
+        const auto full = [&](auto* s) { return desk_.now < s->full_until[kind(c)]; };
+        wide_full_ = 4 * std::count_if(members_.begin(), members_.end(), full) > 3 * std::ssize(members_);
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
         const double wait = all - (desk_.now - c.arrived).s * part;
         for (auto& side : sides_) {
@@ -153,10 +154,10 @@
             if (!s->quarantined && !penalised(*s, c)) side.strength += strength(*s);
             earn(*s);
         }
-        bool full = false;
+        bool no_room = false;
         for (const auto* among : {&members_, &order_})
             for (const bool last : {false, true})
-                if (auto* best = pick(*among, c, last, full); best || full) return best;
+                if (auto* best = pick(*among, c, last, no_room); best || no_room) return best;
         return nullptr;
     }
 
@@ -171,10 +172,19 @@
         const double told = paced_.total(desk_.now, 1);
         return told > 0 ? paced_.total(desk_.now, 0) / told : 0;
     }
-    // Guards against calls that can only be late, where that costs more than a refusal, holding up others.
+    // Guards against calls that can only be late, where that costs more than a refusal, holding up others. As
+    // many as cost nothing are let in while little of the room is taken: late, they still have some value.
     bool hopeless(const Call& c) {
+        auto& recent = tail_[kind(c)];
+        recent.add(desk_.now, asked);
         const Span expected = c.work * pace();
-        return desk_.set.tail && expected > Span{} && desk_.now + expected > c.arrived + c.product->slo;
+        const bool in_time = expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo;
+        if (!desk_.set.tail || in_time) return false;
+        const double borne = desk_.set.borne_misses * recent.total(desk_.now, asked);
+        const double room = (sides_[0].rate + sides_[1].rate) * most_wait * least_slo_.s;
+        if (3 * in_flight_ > room || recent.total(desk_.now, missed) + 1 > borne) return true;
+        recent.add(desk_.now, missed);
+        return false;
     }
 
     void sent(Shot& shot) {
@@ -192,6 +202,8 @@
         if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back({shot.sent, shot.call->weight});
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
+        if (given_up || (shot.outcome == Outcome::fulfilled && desk_.now > shot.call->arrived + p.slo))
+            tail_[kind(*shot.call)].add(desk_.now, missed);
         if (given_up || shot.outcome == Outcome::fulfilled) {
             side.lately.add(desk_.now, shots);
             side.lately.add(desk_.now, time, std::min(took, least_slo_.s));   // else one that hangs says all
@@ -222,7 +234,7 @@
                 // they were over half of the pool, so that no penalty counted.
                 s.full_until[kind(*shot.call)] = desk_.now + penalty;
                 heard(s);
-                return blame(s, s.answered_sent < shot.sent);
+                return blame(s, s.record.total(desk_.now, answered) == 0);
             case Outcome::connect_failed: lay_ghosts(s, desk_.now); return blame(s);
             case Outcome::timed_out:
                 // A server that answered others meanwhile was not silent: the call itself may be heavy.
@@ -500,6 +512,8 @@
     bool wide_ = false;           // over half the pool is penalised
     double usual_work_ = 0;
     Ring<2> paced_{most_silence * 2};   // what answers took, and the work told of them
+    enum { asked, missed };
+    std::vector<Ring<2>> tail_;   // by product: calls, and those that missed the SLO
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
     enum { answers, shots, time, lanes };
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -18,7 +18,8 @@
     std::vector<double> allowances;   // API calls a second a tenant may make across all balancers
     int balancers = 1, me = 0;
     uint16_t zone = 0;
-    bool tail = false;                // a late answer costs more than a call rate-limited at once
+    bool tail = false;                // a late answer costs more than a call rate-limited at once,
+    double borne_misses = 0;          // beyond this share of late ones
     bool live_weights = false;        // the list's sizes fall with the calls that servers hold
     bool pushed = true, probing = false, cancel = false, retry_after = false;
     int max_shots = 1;
@@ -58,6 +59,7 @@
         s.zone = static_cast<uint16_t>(count("Locality", number("Locality", 0)));
         s.pushed = one_of("Discovery", {"pushed", "on_request"}) == 0;
         s.tail = number("ObjectiveMix.Tail", 0) > 0;
+        s.borne_misses = number("ObjectiveMix.BorneMisses", 0);
         s.live_weights = text_or("Weights", "none") == "live";
         s.probing = yes("Limits.Probing");
         s.cancel = yes("Limits.Cancel");
