Earn cold servers' turns by calls placed; take the new shape's settings in the program

Change: sent() earns it.

Weights, ObjectiveMix.Tail and BorneMisses are read and checked; AskWithinS has a default where the list is pushed; the proxy keeps the watch itself there; X-Attrs may tell EstimateS and Billing.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -152,7 +152,6 @@
             side.floor += std::max(1.0, share()) / members_.size();
             side.held += queue(*s);
             if (!s->quarantined && !penalised(*s, c)) side.strength += strength(*s);
-            earn(*s);
         }
         bool no_room = false;
         for (const auto* among : {&members_, &order_})
@@ -188,6 +187,7 @@
     }
 
     void sent(Shot& shot) {
+        for (auto* s : members_) earn(*s);
         shot.server->open.push_back(&shot);
         note_in_flight(+1);
     }
@@ -382,9 +382,10 @@
         return s.size * std::max<size_t>(1, members_.size()) / std::max(size_sum_, s.size);
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
-    // No cold server pushed over by hundreds of balancers: with each call it earns its warm share of a turn,
-    // times three quarters of what the rule allows, so all together keep the rule and one alone need not know
-    // the others. A turn not taken lapses: turns saved up would be taken all at once in a burst.
+    // No cold server pushed over by hundreds of balancers: with each call placed it earns its warm share of a
+    // turn, times three quarters of what the rule allows, so all together keep the rule and one alone need not
+    // know the others. A turn not taken lapses: turns saved up would be taken all at once in a burst. Calls that
+    // are turned away earn nothing: they may be many times what the servers can do.
     void earn(Server& s) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
--- a/src/memory/calls.hpp
+++ b/src/memory/calls.hpp
@@ -18,7 +18,8 @@
     std::string head;      // first line and fields, as they go on to a server; length and time-out come last
     std::string body;
     int product = -1;
-    int tenant = 0;
+    uint32_t tenant = 0;
+    Span work;             // what it is told to cost a server, 0 = not told
     Span patience{-1};     // counted from the client's send; below 0 = not said
     std::string id;        // the client's
 };
--- a/src/run/config.cpp
+++ b/src/run/config.cpp
@@ -138,7 +138,9 @@
         if (path.substr(0, inside.size()) == inside) pairs += path.substr(inside.size()) + "=" + value + "\n";
     if (pairs.empty()) bad("settings", "is missing");
     try {
-        c.settings = SettingsReader(pairs).decode();
+        const SettingsReader reader(pairs);
+        c.settings = reader.decode();
+        reader.check_shape();
     } catch (const std::runtime_error& fault) {
         throw BadConfig(std::string("configuration: ") + fault.what());
     }
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -41,6 +41,8 @@
     }
     s_.balancer = start_balancer(s_.loop.now(), s_.settings(), s_.config.seed, *this);
     watcher_.tell_known();
+    // Where the list is sent unasked, the decisions ask for none: the watch is kept from here.
+    if (s_.settings().pushed) watcher_.watch();
     s_.log.info() << s_.config.name << " serves";
     return true;
 }
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -60,13 +60,15 @@
         s.pushed = one_of("Discovery", {"pushed", "on_request"}) == 0;
         s.tail = number("ObjectiveMix.Tail", 0) > 0;
         s.borne_misses = number("ObjectiveMix.BorneMisses", 0);
-        s.live_weights = text_or("Weights", "none") == "live";
+        if (s.borne_misses > 1) throw std::runtime_error("setting ObjectiveMix.BorneMisses must be 1 at most");
+        s.live_weights = found_.count("Weights") && one_of("Weights", {"none", "nominal", "rough", "live"}) == 3;
         s.probing = yes("Limits.Probing");
         s.cancel = yes("Limits.Cancel");
         s.retry_after = yes("Limits.RetryAfter");
         s.max_shots = std::max(1, count("Limits.MaxShots", number("Limits.MaxShots")));
         s.max_retry_after = {number("Limits.MaxRetryAfterS", 0)};
-        s.ask_within = {s.pushed ? number("Guarantees.AskWithinS", 0) : positive("Guarantees.AskWithinS")};
+        // A pushed list need not have it; what brings the list may fail all the same, and is asked again.
+        s.ask_within = {s.pushed ? positive("Guarantees.AskWithinS", 10) : positive("Guarantees.AskWithinS")};
         s.warm_after = {positive("Guarantees.WarmAfterS")};
         s.start_capacity = positive("Guarantees.StartCapacity");
         s.tip_multiple = positive("Guarantees.TipMultiple");
@@ -80,6 +82,23 @@
         return s;
     }
 
+    // A deployment has one of two shapes: a proxy beside each application, which asks for its list, or a pool
+    // of proxies behind a front, which is sent its list, with live weights and load reports in answers.
+    // Guards against settings taken from both: the first key that belongs to the other shape is named.
+    void check_shape() const {
+        const bool pool = one_of("Discovery", {"pushed", "on_request"}) == 0;
+        struct Mark { const char *key, *value; bool of_pool; };
+        for (const auto& mark : {Mark{"Family", "mesh", false}, {"Family", "proxy", true}, {"Weights", "live", true},
+                                 {"Weights", "rough", false}, {"Weights", "nominal", false},
+                                 {"Feedback.Via", "answers", true}, {"Feedback.Via", "probe", false},
+                                 {"Limits.MayTell", "true", true}}) {
+            const auto it = found_.find(mark.key);
+            if (it != found_.end() && it->second == mark.value && mark.of_pool != pool)
+                throw std::runtime_error(std::string("setting ") + mark.key + " is " + mark.value +
+                                         ", which does not go with Discovery " + text("Discovery"));
+        }
+    }
+
 private:
     Product product(const std::string& at) const {
         Product p;
@@ -100,9 +119,6 @@
         if (it == found_.end()) throw std::runtime_error("setting " + path + " is missing");
         return it->second;
     }
-    std::string text_or(const std::string& path, const char* otherwise) const {
-        return found_.count(path) ? text(path) : otherwise;
-    }
     double number(const std::string& path) const {
         const auto& value = text(path);
         double n = 0;
--- a/src/wire/ask.cpp
+++ b/src/wire/ask.cpp
@@ -46,6 +46,7 @@
             if (settings_->products[i].name == value) ask_.product = static_cast<int>(i);
         if (ask_.product < 0) return 400;
     }
+    if (same(name, "X-Attrs")) attributes(value);
     if (same(name, "X-Request-ID")) {
         if (!ask_.id.empty() || value.empty()) return 400;
         ask_.id = value;
@@ -54,6 +55,20 @@
     return 0;
 }
 
+// Further figures, `name=value` with commas between. They only help to decide well, so what is unsound or
+// unknown among them counts as not told, and the call is taken all the same.
+void AskReader::attributes(std::string_view list) {
+    while (!list.empty()) {
+        const auto part = next_part(list);
+        const auto is = part.find('=');
+        if (is == part.npos) continue;
+        const auto name = trim(part.substr(0, is)), value = trim(part.substr(is + 1));
+        if (const auto n = name == "EstimateS" ? decimal(value) : std::nullopt; n && *n >= 0) ask_.work = {*n};
+        if (const auto n = name == "Billing" ? decimal(value) : std::nullopt; n && *n >= 0 && *n < 65536)
+            ask_.tenant = static_cast<uint32_t>(*n);
+    }
+}
+
 int AskReader::head_ends(Body body) {
     const bool get = ask_.head.front() == 'G';
     if (get && body == Body::some) return 400;      // servers may disagree on where it ends
--- a/src/wire/ask.hpp
+++ b/src/wire/ask.hpp
@@ -22,6 +22,8 @@
     void body(std::string_view bytes) override { ask_.body.append(bytes); }
 
 private:
+    void attributes(std::string_view list);
+
     const Settings* settings_;
     memory::Ask ask_;
     bool up_ = false, host_ = false;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -501,24 +501,31 @@
     CHECK(used.count(1) == (live ? 4 : 1));
 }
 
-TEST_CASE("a cold server takes its turns while the warm ones hold all the room") {
-    const auto age = GENERATE(0.0, 5.0, 30.0);         // warm after 10 s
+TEST_CASE("a cold server takes its turns while the warm ones hold all the room, and no more the more are asked") {
+    struct Case { double age; bool others_answer, takes; };   // warm after 10 s
+    const auto c = GENERATE(Case{0, true, true}, Case{5, true, true}, Case{0, false, false}, Case{30, false, false});
     Play play("Balancers=1", 4);
     play.answer_some(100, 0.02);
-    play.list({{4, State::ready, play.now - Span{age}}});
+    play.list({{4, State::ready, play.now - Span{c.age}}});
     for (auto& wake : play.wakes) wake.first = wake.first + Span{1e6};   // rates and penalties stand still
-    for (int i = 0; i < 200; ++i)
-        if (play.call(1000 + i) == 4 && age < 10) play.end(1000 + i, Outcome::fulfilled);
+    std::vector<CallId> out;
+    for (CallId id = 1000; id < 1200; ++id)
+        if (const auto server = play.call(id); server == 4 && c.age < 10) play.end(id, Outcome::fulfilled);
+        else if (server) out.push_back(id);
     play.now = play.now + Span{0.1};
-    int late = 0;
-    for (int i = 0; i < 100; ++i)
-        if (const auto server = play.call(2000 + i)) {
-            CHECK(server == 4);
-            ++late;
-            play.end(2000 + i, Outcome::fulfilled);
+    int to_cold = 0;
+    for (CallId id = 2000; id < 2400; ++id) {
+        if (c.others_answer && id % 4 == 0 && !out.empty()) {
+            play.end(out.back(), Outcome::fulfilled);   // its place is taken by a later call
+            out.pop_back();
         }
-    CHECK((late > 2) == (age < 10));
-    CHECK(late < 60);
+        const auto server = play.call(id);
+        to_cold += server == 4;
+        if (server == 4) play.end(id, Outcome::fulfilled);
+        else if (server) out.push_back(id);
+    }
+    CHECK((to_cold > 4) == c.takes);
+    CHECK(to_cold < 60);
 }
 
 TEST_CASE("a call that by its told work can only be late is rate-limited at once where that counts") {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -170,14 +170,16 @@
 // The program, told of `servers` toy servers.
 class World {
 public:
-    explicit World(int servers = 1, int backlog = 64) : listen(fresh_endpoint()) {
+    // `from` in the configuration is replaced by `to`.
+    explicit World(int servers = 1, int backlog = 64, const std::string& from = {}, const std::string& to = {})
+        : listen(fresh_endpoint()) {
         std::string known;
         for (int i = 0; i < servers; ++i) {
             this->servers.emplace_back(backlog);
             if (i) known += ',';
             known += entry(i, this->servers[i].endpoint);
         }
-        start(config(listen, discovery.endpoint, list(5, true, known)));
+        start(with(config(listen, discovery.endpoint, list(5, true, known)), from, to));
         for (double until = clock_now() + soon; !connect(listen).open() && clock_now() < until;) wait(0.01);
     }
     ~World() {
@@ -811,7 +813,16 @@
         Case{"Products.1.LatencySloS", "\"book\",\"BilledValue\":1,\"LatencySloS\":4", "\"book\",\"BilledValue\":1"},
         Case{"Limits.MaxShots", "\"MaxShots\":3", "\"MaxShots\":2.5"}, Case{"Limits.Cancel", "\"Cancel\":true", "\"Cancel\":1"},
         Case{"Limits.ConnectTimeoutS", "\"ConnectTimeoutS\":0.25", "\"ConnectTimeoutS\":0"},
-        Case{"log_level", "{\"name\"", "{\"log_level\":\"loud\",\"name\""});
+        Case{"log_level", "{\"name\"", "{\"log_level\":\"loud\",\"name\""},
+        Case{"setting Weights", "\"Balancers\":1", "\"Weights\":\"heavy\",\"Balancers\":1"},
+        Case{"ObjectiveMix.BorneMisses", "\"Balancers\":1", "\"ObjectiveMix\":{\"BorneMisses\":1.5},\"Balancers\":1"},
+        Case{"ObjectiveMix.Tail", "\"Balancers\":1", "\"ObjectiveMix\":{\"Tail\":-1},\"Balancers\":1"},
+        Case{"Weights is live", "\"Balancers\":1", "\"Weights\":\"live\",\"Balancers\":1"},      // of both shapes
+        Case{"Feedback.Via is answers", "\"Balancers\":1", "\"Feedback\":{\"Via\":\"answers\"},\"Balancers\":1"},
+        Case{"Family is proxy", "\"Balancers\":1", "\"Family\":\"proxy\",\"Balancers\":1"},
+        Case{"Limits.MayTell is true", "\"Probing\":true", "\"MayTell\":true,\"Probing\":true"},
+        Case{"Family is mesh", "\"on_request\"", "\"pushed\",\"Family\":\"mesh\""},
+        Case{"Weights is rough", "\"on_request\"", "\"pushed\",\"Weights\":\"rough\""});
     auto text = config("127.0.0.1:5000", "127.0.0.1:8500", list(5, true, entry(0, "127.0.0.1:1")));
     const auto at = text.find(c.from);
     REQUIRE(at != text.npos);
@@ -832,6 +843,27 @@
     CHECK(log.find(c.key) != log.npos);
 }
 
+TEST_CASE("each shape of deployment starts, keeps a watch on the list and serves") {
+    struct Case { const char* settings; const char* from; };
+    const auto c = GENERATE(
+        Case{"\"on_request\",\"Family\":\"mesh\",\"Weights\":\"rough\",\"Unheard\":[1,{\"of\":2}]", "\"on_request\""},
+        Case{"\"pushed\",\"Family\":\"proxy\",\"Weights\":\"live\",\"Feedback\":{\"Via\":\"answers\"},"
+             "\"ObjectiveMix\":{\"Tail\":0.4,\"BorneMisses\":0.02}", "\"on_request\""});
+    World w(1, 64, c.from, c.settings);
+    auto discovery = w.discovery.accept();
+    CHECK(discovery.message().find("GET /discovery/hosts?from=5&hold_ms=10000 ") == 0);
+    discovery.close();                                 // what brings the list fails, and is asked again
+    discovery = w.discovery.accept();
+    CHECK(discovery.message().find("GET /discovery/hosts?from=5") == 0);
+    discovery.send(answer(list(6, false, entry(1, w.servers[0].endpoint))));
+    auto client = w.client();
+    client.send(request("read"));
+    auto server = w.servers[0].accept();
+    CHECK_FALSE(server.message().empty());
+    server.send(answer("served"));
+    CHECK(status(client.message()) == 200);
+}
+
 TEST_CASE("configuration: nested settings are flattened, the environment wins, the rest has defaults") {
     const auto text = config("127.0.0.1:5000", "127.0.0.1:8500", list(5, true, entry(0, "127.0.0.1:1")));
     const auto c = myrtleroute::run::read_config(text, [](const char* name) -> const char* {
--- a/tests/wire_machines_test.cpp
+++ b/tests/wire_machines_test.cpp
@@ -68,6 +68,21 @@
     }
 }
 
+TEST_CASE("figures told beside a call are read, and unsound ones count as not told") {
+    struct Case { const char* attributes; double work; uint32_t tenant; };
+    const auto c = GENERATE(Case{"EstimateS=0.25", 0.25, 0}, Case{"Billing=1, EstimateS=0.5", 0.5, 1}, Case{"", 0, 0},
+                            Case{"EstimateS=-1,Billing=-1", 0, 0}, Case{"EstimateS=nan,Billing=x", 0, 0},
+                            Case{"EstimateS,=,Billing=70000", 0, 0}, Case{"Other=3,Billing=2", 0, 2});
+    const std::string text = "GET /api HTTP/1.1\r\n" + fields + "X-Attrs: " + c.attributes + "\r\n\r\n";
+    AskReader reader(settings());
+    HttpMachine machine(Side::ask, reader);
+    feed(machine, text, text.size());
+    REQUIRE(machine.done());
+    CHECK(machine.fault() == 0);
+    CHECK(reader.ask().work.s == Approx(c.work));
+    CHECK(reader.ask().tenant == c.tenant);
+}
+
 TEST_CASE("malformed, oversized and ambiguous requests are refused") {
     struct Case { std::string text; int status; };
     const auto get = "GET /api HTTP/1.1\r\n" + fields, post = "POST /api HTTP/1.1\r\n" + posted;
