--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -383,9 +383,9 @@
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
     // No cold server pushed over by hundreds of balancers: with each call placed it earns its warm share of a
-    // turn, times three quarters of what the rule allows, so all together keep the rule and one alone need not
-    // know the others. A turn not taken lapses: turns saved up would be taken all at once in a burst. Calls
-    // that are turned away earn nothing: they may be many times what the servers can do.
+    // turn, times three quarters of what the rule allows, so all together keep the rule and one alone need
+    // not know the others. A turn not taken lapses: turns saved up would be taken all at once in a burst.
+    // Calls that are turned away earn nothing: they may be many times what the servers can do.
     void earn(Server& s) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
