Draw ties among the least busy by the call's key where servers keep keys warm

Fleet::pick drew ties by chance.

Change: where FamilyInfo.WarmKeys is set and a call has a key, members that tie are ranked by a draw from key and server, weighted as before and alike at all balancers. The fewest own calls in flight still decide.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,6 +35,13 @@
     Time now;
 };
 
+// The same share of [0, 1) for a key and a server at every balancer.
+double draw(uint64_t key, uint64_t server) {
+    Pcg mixed(key * 0x9e3779b97f4a7c15ULL ^ server);
+    mixed.next();
+    return mixed.share();
+}
+
 bool idempotent(const Call& c) { return c.product->repeat == Repeat::idempotent; }
 
 // Until when an answer is worth anything; later ones are not worth a further shot.
@@ -436,7 +443,7 @@
     Server* pick(const std::vector<Server*>& among, const Call& c, bool last, bool& full) {
         Server* best = nullptr;
         double least = std::numeric_limits<double>::infinity();
-        double tied = 0;
+        double tied = 0, furthest = -1;
         for (auto* s : among) {
             if (s->quarantined || s->state != State::ready || !may_send(c, *s, desk_.now)) continue;
             if (penalised(*s, c) != last) continue;
@@ -448,11 +455,13 @@
             }
             const double cost = busyness(*s, c, warm);
             if (cost > least) continue;
-            if (cost < least) tied = 0;
+            if (cost < least) tied = 0, furthest = -1;
             // Idle members tie whatever their size; a cold one takes its turn.
             const double weight = warm < 1 ? s->size * order_.size() * penalty_weight : s->size;
             tied += weight;
-            if (desk_.chance.share() * tied < weight) best = s;
+            const double drawn = c.key ? std::pow(draw(c.key, s->id), 1 / weight) : 0;
+            if (c.key ? drawn > furthest : desk_.chance.share() * tied < weight) best = s;
+            furthest = std::max(furthest, drawn);
             least = cost;
         }
         return best;
@@ -630,7 +639,7 @@
     void list_failed(Time now) override { at(now).list_failed(); }
 
     void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience,
-                      Span work) override {
+                      Span work, uint64_t key) override {
         desk_.now = now;
         if (product >= desk_.set.products.size()) throw std::runtime_error("unknown product");
         auto [it, fresh] = calls_.try_emplace(id);
@@ -640,6 +649,7 @@
         c.product = &desk_.set.products[product];
         c.tenant = tenant;
         c.work = work;
+        c.key = desk_.set.warm_keys ? key : 0;
         c.arrived = now;
         c.give_up = now + patience;
         c.shots.reserve(desk_.set.max_shots);
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -46,6 +46,7 @@
     uint64_t id = 0;
     Product* product = nullptr;
     uint32_t tenant = 0;
+    uint64_t key = 0;          // what it concerns, 0 = not told
     Span work;                 // what it is told to cost a server, 0 = not told
     double weight = 1;         // that over the usual call's
     double worth = 0;          // its product's value, less where its tenant is over its allowance
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -20,6 +20,7 @@
     uint16_t zone = 0;
     bool tail = false;                // a late answer costs more than a call rate-limited at once,
     double borne_misses = 0;          // beyond this share of late ones
+    bool warm_keys = false;           // a server that met a call's key lately has less to do
     bool live_weights = false;        // the list's sizes fall with the calls that servers hold
     bool pushed = true, probing = false, cancel = false, retry_after = false;
     int max_shots = 1;
@@ -61,6 +62,7 @@
         s.tail = number("ObjectiveMix.Tail", 0) > 0;
         s.borne_misses = number("ObjectiveMix.BorneMisses", 0);
         if (s.borne_misses > 1) throw std::runtime_error("setting ObjectiveMix.BorneMisses must be 1 at most");
+        s.warm_keys = found_.count("FamilyInfo.WarmKeys") && yes("FamilyInfo.WarmKeys");
         s.live_weights = found_.count("Weights") && one_of("Weights", {"none", "nominal", "rough", "live"}) == 3;
         s.probing = yes("Limits.Probing");
         s.cancel = yes("Limits.Cancel");
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -585,3 +585,21 @@
     CHECK((turned_away == 0) == (closed < 6));
     CHECK(other > 5);
 }
+
+TEST_CASE("where servers keep keys warm, ties are drawn by the key, alike at all balancers, and loads still come first") {
+    const auto warm = GENERATE(true, false);
+    std::set<ServerId> met, keys_met;
+    for (uint64_t seed = 1; seed <= 8; ++seed) {
+        Play play(warm ? "FamilyInfo.WarmKeys=true" : "FamilyInfo.WarmKeys=false", 6, seed);
+        met.insert(play.call(1, 0, 4, 0, 0, 77));
+        play.end(1, Outcome::fulfilled);
+        for (CallId id = 2; id <= 21; ++id) {          // other keys, other servers
+            keys_met.insert(play.call(id, 0, 4, 0, 0, id));
+            play.end(id, Outcome::fulfilled);
+        }
+        const auto first = play.call(30, 0, 4, 0, 0, 77);
+        CHECK(play.call(31, 0, 4, 0, 0, 77) != first);   // its server is busier than the others now
+    }
+    CHECK((met.size() == 1) == warm);
+    CHECK(keys_met.size() == 6);
+}
