--- a/src/memory/calls.hpp
+++ b/src/memory/calls.hpp
@@ -19,6 +19,7 @@
     std::string body;
     int product = -1;
     uint32_t tenant = 0;
+    uint64_t key = 0;      // what it concerns, 0 = not told
     Span work;             // what it is told to cost a server, 0 = not told
     Span patience{-1};     // counted from the client's send; below 0 = not said
     std::string id;        // the client's
--- a/src/wire/ask.cpp
+++ b/src/wire/ask.cpp
@@ -64,6 +64,7 @@
         if (is == part.npos) continue;
         const auto name = trim(part.substr(0, is)), value = trim(part.substr(is + 1));
         if (const auto n = name == "EstimateS" ? decimal(value) : std::nullopt; n && *n >= 0) ask_.work = {*n};
+        if (const auto n = name == "Object" ? whole<uint64_t>(value) : std::nullopt) ask_.key = *n;
         if (const auto n = name == "Billing" ? decimal(value) : std::nullopt; n && *n >= 0 && *n < 65536)
             ask_.tenant = static_cast<uint32_t>(*n);
     }
