--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -128,7 +128,11 @@
         refill();
     }
     double share() const { return 3.0 * order_.size() / desk_.set.balancers; }
-    size_t floor() const { return std::max(least_size, static_cast<size_t>(std::ceil(2 * share()))); }
+    // Twice the share where that is a third of the servers at most, so that pools of small fleets differ.
+    size_t floor() const {
+        const double wide = std::min(2 * share(), order_.size() / 3.0);
+        return std::max(least_size, static_cast<size_t>(std::ceil(std::max(share(), wide))));
+    }
     void resize() {
         const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
         target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
