Rank ties by key among idle members only

Change: the draw from key and server counts for members that hold nothing; the others tie by chance, as the design has it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -463,8 +463,9 @@
             // Idle members tie whatever their size; a cold one takes its turn.
             const double weight = warm < 1 ? s->size * order_.size() * penalty_weight : s->size;
             tied += weight;
-            const double drawn = c.key ? std::pow(draw(c.key, s->id), 1 / weight) : 0;
-            if (c.key ? drawn > furthest : desk_.chance.share() * tied < weight) best = s;
+            const bool by_key = c.key && s->held() == 0;
+            const double drawn = by_key ? std::pow(draw(c.key, s->id), 1 / weight) : 0;
+            if (by_key ? drawn > furthest : desk_.chance.share() * tied < weight) best = s;
             furthest = std::max(furthest, drawn);
             least = cost;
         }
