--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -179,17 +179,17 @@
     }
     // Seconds that answers lately took for each second of work told ahead, 0 where none is told.
     double pace() {
-        const double told = paced_.total(desk_.now, 1);
-        return told > 0 ? paced_.total(desk_.now, 0) / told : 0;
+        const double told = paced_.total(desk_.now, foretold);
+        return told > 0 ? paced_.total(desk_.now, waited) / told : 0;
     }
     // Guards against calls that can only be late, where that costs more than a refusal, holding up others. As
     // many as cost nothing are let in while little of the room is taken: late, they still have some value.
     bool hopeless(const Call& c) {
+        if (!desk_.set.tail) return false;
         auto& recent = tail_[kind(c)];
         recent.add(desk_.now, asked);
         const Span expected = c.work * pace();
-        const bool in_time = expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo;
-        if (!desk_.set.tail || in_time) return false;
+        if (expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo) return false;
         const double borne = desk_.set.borne_misses * recent.total(desk_.now, asked);
         const double room = (sides_[0].rate + sides_[1].rate) * most_wait * least_slo_.s;
         if (3 * in_flight_ > room || recent.total(desk_.now, missed) + 1 > borne) return true;
@@ -213,13 +213,14 @@
         if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back({shot.sent, shot.call->weight});
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
-        if (given_up || (shot.outcome == Outcome::fulfilled && desk_.now > shot.call->arrived + p.slo))
+        const bool fulfilled = shot.outcome == Outcome::fulfilled;
+        if (desk_.set.tail && (given_up || (fulfilled && desk_.now > shot.call->arrived + p.slo)))
             tail_[kind(*shot.call)].add(desk_.now, missed);
-        if (given_up || shot.outcome == Outcome::fulfilled) {
+        if (given_up || fulfilled) {
             side.lately.add(desk_.now, shots);
             side.lately.add(desk_.now, time, std::min(took, least_slo_.s));   // else one that hangs says all
         }
-        if (p.took > 0 && (given_up || shot.outcome == Outcome::fulfilled)) {
+        if (p.took > 0 && (given_up || fulfilled)) {
             s.record.add(desk_.now, spent, took);
             const double told = shot.call->work.s * pace(), usual = told > 0 ? told : p.took;
             s.record.add(desk_.now, expected, usual / relative_size(s) / warm_share(s));
@@ -231,8 +232,8 @@
                 lay_ghosts(s, shot.sent);
                 side.lately.add(desk_.now, answers);
                 if (shot.call->work > Span{}) {
-                    paced_.add(desk_.now, 0, took);
-                    paced_.add(desk_.now, 1, shot.call->work.s);
+                    paced_.add(desk_.now, waited, took);
+                    paced_.add(desk_.now, foretold, shot.call->work.s);
                 }
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
@@ -444,7 +445,7 @@
     bool penalised(const Server& s, const Call& c) const {
         return (!wide_full_ && desk_.now < s.full_until[kind(c)]) || (!wide_ && desk_.now < s.penalty_until);
     }
-    Server* pick(const std::vector<Server*>& among, const Call& c, bool last, bool& full) {
+    Server* pick(const std::vector<Server*>& among, const Call& c, bool last, bool& no_room) {
         Server* best = nullptr;
         double least = std::numeric_limits<double>::infinity();
         double tied = 0, furthest = -1;
@@ -454,7 +455,7 @@
             const double warm = warm_share(*s);
             if (warm < 1 && s->credit < 1) continue;
             if (!has_room(*s)) {
-                full = true;
+                no_room = true;
                 continue;
             }
             const double cost = busyness(*s, c, warm);
@@ -525,7 +526,8 @@
     double size_sum_ = 0, median_share_ = 0;
     bool wide_full_ = false;      // over three quarters turn the product away
     bool wide_ = false;           // over half the pool is penalised
-    double usual_work_ = 0;
+    double usual_work_ = 0;       // told lately, in seconds
+    enum { waited, foretold };
     Ring<2> paced_{most_silence * 2};   // what answers took, and the work told of them
     enum { asked, missed };
     std::vector<Ring<2>> tail_;   // by product: calls, and those that missed the SLO
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -88,7 +88,7 @@
     // of proxies behind a front, which is sent its list, with live weights and load reports in answers.
     // Guards against settings taken from both: the first key that belongs to the other shape is named.
     void check_shape() const {
-        const bool pool = one_of("Discovery", {"pushed", "on_request"}) == 0;
+        const bool pool = text("Discovery") == "pushed";
         struct Mark { const char *key, *value; bool of_pool; };
         for (const auto& mark : {Mark{"Family", "mesh", false}, {"Family", "proxy", true}, {"Weights", "live", true},
                                  {"Weights", "rough", false}, {"Weights", "nominal", false},
--- a/src/wire/ask.cpp
+++ b/src/wire/ask.cpp
@@ -59,10 +59,7 @@
 // unknown among them counts as not told, and the call is taken all the same.
 void AskReader::attributes(std::string_view list) {
     while (!list.empty()) {
-        const auto part = next_part(list);
-        const auto is = part.find('=');
-        if (is == part.npos) continue;
-        const auto name = trim(part.substr(0, is)), value = trim(part.substr(is + 1));
+        const auto [name, value] = next_pair(list);
         if (const auto n = name == "EstimateS" ? decimal(value) : std::nullopt; n && *n >= 0) ask_.work = {*n};
         if (const auto n = name == "Object" ? whole<uint64_t>(value) : std::nullopt) ask_.key = *n;
         if (const auto n = name == "Billing" ? decimal(value) : std::nullopt; n && *n >= 0 && *n < 65536)
--- a/src/wire/load_report.hpp
+++ b/src/wire/load_report.hpp
@@ -13,12 +13,10 @@
     if (report.substr(0, form.size()) != form) return false;
     for (const bool telling : {false, true})
         for (auto rest = report.substr(form.size()); !rest.empty();) {
-            const auto part = next_part(rest);
-            const auto is = part.find('=');
-            if (is == part.npos || is == 0) return false;
-            const auto value = decimal(trim(part.substr(is + 1)));
-            if (!value || *value < 0) return false;
-            if (telling) take(trim(part.substr(0, is)), *value);
+            const auto [name, said] = next_pair(rest);
+            const auto value = decimal(said);
+            if (name.empty() || !value || *value < 0) return false;
+            if (telling) take(name, *value);
         }
     return true;
 }
--- a/src/wire/text.hpp
+++ b/src/wire/text.hpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 namespace myrtleroute::wire {
 
@@ -30,6 +31,14 @@
     return trim(part);
 }
 
+// The same of a list of `name=value`; no name where it is no such part.
+inline std::pair<std::string_view, std::string_view> next_pair(std::string_view& rest) {
+    const auto part = next_part(rest);
+    const auto is = part.find('=');
+    if (is == part.npos) return {};
+    return {trim(part.substr(0, is)), trim(part.substr(is + 1))};
+}
+
 template <class T>
 std::optional<T> whole(std::string_view s, int base = 10) {   // digits alone, and no more than T holds
     T value{};
--- a/tests/wire_machines_test.cpp
+++ b/tests/wire_machines_test.cpp
@@ -71,7 +71,8 @@
 TEST_CASE("figures told beside a call are read, and unsound ones count as not told") {
     struct Case { const char* attributes; double work; uint32_t tenant; uint64_t key = 0; };
     const auto c = GENERATE(Case{"EstimateS=0.25", 0.25, 0}, Case{"Object=1234567890123456789", 0, 0, 1234567890123456789},
-                            Case{"Object=-1", 0, 0}, Case{"Object=x9,EstimateS=1", 1, 0}, Case{"Billing=1, EstimateS=0.5", 0.5, 1}, Case{"", 0, 0},
+                            Case{"Object=-1", 0, 0}, Case{"Object=x9,EstimateS=1", 1, 0},
+                            Case{"Billing=1, EstimateS=0.5", 0.5, 1}, Case{"", 0, 0},
                             Case{"EstimateS=-1,Billing=-1", 0, 0}, Case{"EstimateS=nan,Billing=x", 0, 0},
                             Case{"EstimateS,=,Billing=70000", 0, 0}, Case{"Other=3,Billing=2", 0, 2});
     const std::string text = "GET /api HTTP/1.1\r\n" + fields + "X-Attrs: " + c.attributes + "\r\n\r\n";
