Bound the work that a call may tell by its client timeout

Cause: read again, Fleet::weigh takes the mean of all told work, and AskReader::attributes took EstimateS=1e300 as it came: one such call would have made every later one count as the lightest. Seen by a table row that failed (wire_machines_test, 1e300 read as 1e300).

Change: AskReader::head_ends bounds it, as it does patience, by the product's client timeout.

--- a/src/wire/ask.cpp
+++ b/src/wire/ask.cpp
@@ -78,6 +78,8 @@
     if (!get && body == Body::unsaid) return 411;
     // No client waits for longer than its class's time, whatever it says; so none can be held on to by it.
     if (ask_.patience.s < 0 || ask_.patience > product.client_timeout) ask_.patience = product.client_timeout;
+    // Guards against one client's nonsense setting what all calls are measured by.
+    ask_.work = std::min(ask_.work, product.client_timeout);
     return 0;
 }
 
--- a/tests/wire_machines_test.cpp
+++ b/tests/wire_machines_test.cpp
@@ -74,7 +74,7 @@
                             Case{"Object=-1", 0, 0}, Case{"Object=x9,EstimateS=1", 1, 0},
                             Case{"Billing=1, EstimateS=0.5", 0.5, 1}, Case{"", 0, 0},
                             Case{"EstimateS=-1,Billing=-1", 0, 0}, Case{"EstimateS=nan,Billing=x", 0, 0},
-                            Case{"EstimateS,=,Billing=70000", 0, 0}, Case{"Other=3,Billing=2", 0, 2});
+                            Case{"EstimateS,=,Billing=70000", 0, 0}, Case{"Other=3,Billing=2", 0, 2}, Case{"EstimateS=1e300", 4, 0});
     const std::string text = "GET /api HTTP/1.1\r\n" + fields + "X-Attrs: " + c.attributes + "\r\n\r\n";
     AskReader reader(settings());
     HttpMachine machine(Side::ask, reader);
