Keep servers in use that a list calls gone, where only draining binds

Change: Guarantees.DrainBindsAlone is read; there a server listed as gone or left out serves on until a connect to it fails too (then it is out for an interval), or until it has been neither listed as running nor answered anything for a minute, when it is forgotten. A drain told once holds against any later list until the server has started anew. Covers lists that shrink, are empty or old, and a process check that fails; in a real crash it costs a failed connect a member.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -18,6 +18,7 @@
 
 // The design's figures. Spans and counts that settings give are used as ratios where they are needed.
 constexpr Span interval{10};                       // between resizes of the pool
+constexpr Span memory = interval * 6;              // of a server that is gone and answers nothing
 constexpr Span tick = interval * (1.0 / 40);       // between looks at medians, limit and quarantine
 constexpr Span penalty{5};                         // how long a failure counts
 constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
@@ -98,6 +99,8 @@
         slot->zone = zone;
         slot->cell = cell;
         slot->state = state;
+        if (state != State::gone) slot->vouched = desk_.now;
+        slot->drained = (slot->drained && slot->launched >= launched) || state == State::draining;
         if (size <= 0) size = 1;
         // A live weight is the size only while the server holds nothing.
         slot->size = desk_.set.live_weights && slot->launched >= launched ? std::max(slot->size, size) : size;
@@ -137,6 +140,7 @@
         const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
         target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
         peak_ = in_flight_;
+        arrange();
         refill();
     }
 
@@ -228,6 +232,7 @@
         switch (shot.outcome) {
             case Outcome::fulfilled:
                 heard(s);
+                s.vouched = desk_.now;
                 s.answered_sent = std::max(s.answered_sent, shot.sent);
                 lay_ghosts(s, shot.sent);
                 side.lately.add(desk_.now, answers);
@@ -247,7 +252,10 @@
                 s.full_until[kind(*shot.call)] = desk_.now + penalty;
                 heard(s);
                 return blame(s, s.record.total(desk_.now, answered) == 0);
-            case Outcome::connect_failed: lay_ghosts(s, desk_.now); return blame(s);
+            case Outcome::connect_failed:
+                lay_ghosts(s, desk_.now);
+                if (s.state == State::gone) s.absent_until = desk_.now + interval;
+                return blame(s);
             case Outcome::timed_out:
                 // A server that answered others meanwhile was not silent: the call itself may be heavy.
                 return blame(s, s.last_heard < shot.sent || stands_out(s));
@@ -284,7 +292,7 @@
             return;
         }
         if (&s == replacement_) replacement_ = nullptr;   // then the old one stays
-        if (s.quarantined || !s.member || s.state != State::ready) return;
+        if (s.quarantined || !s.member || !serves(s)) return;
         // Wide trouble is no member's fault: never more than half the pool.
         size_t out = 1;
         for (auto* m : members_) out += m->quarantined;
@@ -322,10 +330,19 @@
     }
 
 private:
+    // Where only draining binds, the list's word that a server is gone is one sign among others: with a failed
+    // connect it is believed for an interval, alone it is not. Guards against lists that shrink, are empty or
+    // old, or come from a process check that fails; a drain told once holds, whatever is listed later.
+    bool serves(const Server& s) const {
+        if (!desk_.set.drain_binds_alone) return s.state == State::ready;
+        if (s.drained || s.state == State::ready) return !s.drained;
+        return desk_.now >= s.absent_until && desk_.now < s.vouched + memory;
+    }
     // Guards against growth where new machines come under new ids all day.
     void forget() {
         std::erase_if(listed_, [this](auto* s) {
             if (s->state != State::gone || s->named || s->probing || s == replaced_) return false;
+            if (desk_.set.drain_binds_alone && desk_.now < s->vouched + memory) return false;
             lay_ghosts(*s, desk_.now);
             return known_.erase(s->id) == 1;
         });
@@ -348,7 +365,7 @@
     void arrange() {
         std::vector<Server*> parts[2];
         for (auto* s : listed_)
-            if (s->state == State::ready) parts[far(*s)].push_back(s);
+            if (serves(*s)) parts[far(*s)].push_back(s);
         for (auto& part : parts) {
             const size_t from = desk_.set.me % desk_.set.balancers * part.size() / desk_.set.balancers;
             std::rotate(part.begin(), part.begin() + from, part.end());
@@ -360,8 +377,8 @@
         }
     }
     void refill() {
-        const auto leaves = [](auto* s) {
-            if (s->state != State::ready) s->member = false;
+        const auto leaves = [this](auto* s) {
+            s->member = s->member && serves(*s);
             return !s->member;
         };
         members_.erase(std::remove_if(members_.begin(), members_.end(), leaves), members_.end());
@@ -450,7 +467,7 @@
         double least = std::numeric_limits<double>::infinity();
         double tied = 0, furthest = -1;
         for (auto* s : among) {
-            if (s->quarantined || s->state != State::ready || !may_send(c, *s, desk_.now)) continue;
+            if (s->quarantined || !serves(*s) || !may_send(c, *s, desk_.now)) continue;
             if (penalised(*s, c) != last) continue;
             const double warm = warm_share(*s);
             if (warm < 1 && s->credit < 1) continue;
@@ -512,7 +529,7 @@
     void settle_trial(Server& s) {
         if (&s != replacement_) return;
         replacement_ = nullptr;
-        if (s.member || s.state != State::ready || !replaced_->member) return;
+        if (s.member || !serves(s) || !replaced_->member) return;
         desk_.out.log("often quarantined, replaced:", replaced_->id);
         join(s);
         leave(*replaced_);
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -65,6 +65,9 @@
     State state = State::ready;
     double size = 0;               // capacity hint, comparable between servers
     Time launched = long_ago;      // last start that was listed
+    bool drained = false;          // listed as draining since that start
+    Time vouched = long_ago;       // when it was last listed as running, or answered a call
+    Time absent_until = long_ago;  // gone by the list's word and by a failed connect
     double credit = 0;             // of a cold one: a call may go there when it reaches 1
     Time penalty_until = long_ago;
     std::vector<Time> full_until;  // by product, after it turned one away
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -22,6 +22,7 @@
     double borne_misses = 0;          // beyond this share of late ones
     bool warm_keys = false;           // a server that met a call's key lately has less to do
     bool live_weights = false;        // the list's sizes fall with the calls that servers hold
+    bool drain_binds_alone = false;   // a server listed as gone, or left out, may still be sent to
     bool pushed = true, probing = false, cancel = false, retry_after = false;
     int max_shots = 1;
     Span max_retry_after, ask_within, warm_after;
@@ -63,6 +64,7 @@
         s.borne_misses = number("ObjectiveMix.BorneMisses", 0);
         if (s.borne_misses > 1) throw std::runtime_error("setting ObjectiveMix.BorneMisses must be 1 at most");
         s.warm_keys = found_.count("FamilyInfo.WarmKeys") && yes("FamilyInfo.WarmKeys");
+        s.drain_binds_alone = found_.count("Guarantees.DrainBindsAlone") && yes("Guarantees.DrainBindsAlone");
         s.live_weights = found_.count("Weights") && one_of("Weights", {"none", "nominal", "rough", "live"}) == 3;
         s.probing = yes("Limits.Probing");
         s.cancel = yes("Limits.Cancel");
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -92,6 +92,50 @@
     CHECK(used == std::set<ServerId>{1, 2, 3});
 }
 
+TEST_CASE("where only draining binds, a server called gone serves on until a connect fails too") {
+    struct Case { const char* more; bool whole, drained, fails; int used; };
+    const auto c = GENERATE(Case{"Guarantees.DrainBindsAlone=true", false, false, false, 6},
+                            Case{"Guarantees.DrainBindsAlone=true", true, false, false, 6},
+                            Case{"Guarantees.DrainBindsAlone=true", true, true, false, 0},
+                            Case{"Guarantees.DrainBindsAlone=true", true, false, true, 0},
+                            Case{"Guarantees.DrainBindsAlone=false", true, false, false, 0}, Case{"", false, false, false, 0});
+    Play play(c.more, 6);
+    std::vector<Play::Listed> all;
+    for (ServerId id = 1; id <= 6; ++id) all.push_back({id, State::draining});
+    if (c.drained) play.list(all);
+    for (auto& e : all) e.state = State::gone;
+    play.list(c.whole ? std::vector<Play::Listed>{} : all, c.whole);
+    for (CallId id = 1; c.fails && id <= 12; ++id) {
+        const auto server = play.call(id);
+        for (int shot = 0; server && shot < play.count("send", id); ++shot)
+            play.end(id, Outcome::connect_failed, shot);
+    }
+    const auto used = play.answer_some(100, 0.02);
+    CHECK(std::set<ServerId>(used.begin(), used.end()).size() == static_cast<size_t>(c.used));
+}
+
+TEST_CASE("a drain told once holds against a later list, until the server has started again") {
+    Play play("Guarantees.DrainBindsAlone=true", 2);
+    play.list({{1, State::draining}});
+    play.list({{1}, {2}}, true);                       // an old list comes again
+    CHECK(play.answer_some(60, 0.02).count(1) == 0);
+    play.list({}, true);
+    CHECK(play.answer_some(60, 0.02).count(1) == 0);
+    play.list({{1, State::ready, play.now}, {2}}, true);
+    CHECK(play.answer_some(60, 0.02).count(1) > 0);
+}
+
+TEST_CASE("a server that is gone and answers nothing is forgotten, and none is used that was never listed as running") {
+    Play play("Guarantees.DrainBindsAlone=true", 2);
+    play.list({{9, State::gone}});
+    CHECK(play.answer_some(60, 0.02).count(9) == 0);
+    play.list({}, true);
+    play.answer_some(1000, 0.1);                       // more than a minute: an answer vouches for its server
+    CHECK(play.answer_some(20, 0.02).size() == 20);
+    play.pass(61);
+    CHECK(play.answer_some(20, 0.02).size() == 0);
+}
+
 TEST_CASE("a cold server gets no more than its warm share, however many balancers there are") {
     struct Case { int balancers, calls; bool burst; };
     const auto c = GENERATE(Case{1, 600, false}, Case{60, 10, false}, Case{60, 10, true});
