Count a zone's recent lateness against it in the price of crossing's currency

With one or two own calls a second nothing is in flight, so the price of crossing (2.75 calls) is never passed and a zone with more traffic than servers overdrives them; rooms alone can't tell, as one call a balancer is always let in. Change: where crossing costs more than a call, each zone's cost carries half the penalty's weight, the currency of that price, times the mean fourth power of the share of the SLO that its shots of 5 s took.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -156,6 +156,7 @@
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
         const double wait = all - (desk_.now - c.arrived).s * part;
         for (auto& side : sides_) {
+            side.risk = side.late.total(desk_.now, risked) / (side.late.total(desk_.now, tried) + 2);
             const double n = side.lately.total(desk_.now, shots) + 2;
             const double calm = std::max(0.0, 1 - side.lately.total(desk_.now, time) / n / all);
             side.room = side.rate * wait;
@@ -223,6 +224,8 @@
         if (given_up || fulfilled) {
             side.lately.add(desk_.now, shots);
             side.lately.add(desk_.now, time, std::min(took, least_slo_.s));   // else one that hangs says all
+            side.late.add(desk_.now, tried);
+            side.late.add(desk_.now, risked, std::min(1.0, std::pow(took / p.slo.s, 4)));
         }
         if (p.took > 0 && (given_up || fulfilled)) {
             s.record.add(desk_.now, spent, took);
@@ -503,6 +506,7 @@
         if (newcomer) own = std::max(own, in_flight_ / members);
         double cost = own / (relative_size(s) * warm);
         cost += hidden(s, c);
+        if (price_of_crossing() > 1) cost += penalty_weight / 2 * sides_[far(s)].risk;
         if (!at_home(s)) cost += price_of_crossing();
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
@@ -551,8 +555,11 @@
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
     enum { answers, shots, time, lanes };
+    enum { tried, risked };
     struct Side {              // the own zone, and the others where they are limited apart
         Ring<lanes> lately{most_silence * 2};
+        Ring<2> late{penalty};
+        double risk = 0;       // share of worth that lateness takes there
         double rate = 0;       // answers a second, at best lately
         double room = 0;       // calls that it may hold, for the call being placed
         double floor = 0, held = 0, strength = 0;
