--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -73,7 +73,8 @@
 
 class Fleet {
 public:
-    explicit Fleet(Desk& desk) : desk_(desk), started_(desk.now) {
+    explicit Fleet(Desk& desk)
+        : desk_(desk), cutting_(desk.set.tail && desk.set.cancel), started_(desk.now) {
         tail_.assign(desk.set.products.size(), Ring<2>(penalty));
         for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
     }
@@ -158,9 +159,10 @@
         for (auto& side : sides_) {
             side.risk = side.late.total(desk_.now, risked) / (side.late.total(desk_.now, tried) + 2);
             const double n = side.lately.total(desk_.now, shots) + 2;
-            const double calm = std::max(0.0, 1 - side.lately.total(desk_.now, time) / n / all);
+            // Where late calls are called off a queue can't outgrow the SLO, so that chance has all its slack.
+            const double calm = cutting_ ? 1 : std::max(0.0, 1 - side.lately.total(desk_.now, time) / n / all);
             side.room = side.rate * wait;
-            if (wait > 0) side.room += 3 * calm * std::sqrt(side.room / std::max(1.0, share()));
+            if (wait > 0) side.room += 3 * calm * std::sqrt((side.room + cutting_) / std::max(1.0, share()));
             side.floor = side.held = side.strength = 0;
         }
         for (auto* s : members_) {
@@ -215,11 +217,12 @@
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
         // A shot given up mostly still runs or waits there, so it counts until one sent later is answered.
         const bool given_up = shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled;
-        if (given_up && shot.sent >= s.answered_sent) s.ghosts.push_back({shot.sent, shot.call->weight});
+        const bool beaten = shot.call->served();   // by the call's other copy
+        if (given_up && !beaten && shot.sent >= s.answered_sent) s.ghosts.push_back({shot.sent, shot.call->weight});
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
         const bool fulfilled = shot.outcome == Outcome::fulfilled;
-        if (desk_.set.tail && (given_up || (fulfilled && desk_.now > shot.call->arrived + p.slo)))
+        if (desk_.set.tail && !beaten && (given_up || (fulfilled && desk_.now > shot.call->arrived + p.slo)))
             tail_[kind(*shot.call)].add(desk_.now, missed);
         if (given_up || fulfilled) {
             side.lately.add(desk_.now, shots);
@@ -236,6 +239,8 @@
             case Outcome::fulfilled:
                 heard(s);
                 s.vouched = desk_.now;
+                if (shot.sent >= s.broke && desk_.now < s.broke + most_silence) ends_.add(desk_.now, outlived);
+                s.broke = long_ago;
                 s.answered_sent = std::max(s.answered_sent, shot.sent);
                 lay_ghosts(s, shot.sent);
                 side.lately.add(desk_.now, answers);
@@ -243,12 +248,16 @@
                     paced_.add(desk_.now, waited, took);
                     paced_.add(desk_.now, foretold, shot.call->work.s);
                 }
+                p.quick = p.quick > 0 ? p.quick * (1 + 0.05 * (0.2 - (took < p.quick))) : took;
                 p.took = p.took > 0 ? p.took + (std::min(took, p.slo.s) - p.took) / penalty_weight : took;
                 s.record.add(desk_.now, answered);
                 s.record.add(desk_.now, replied, took);
                 return;
-            case Outcome::errored: heard(s); [[fallthrough]];
-            case Outcome::reset: return blame(s, stands_out(s));
+            case Outcome::errored: heard(s); return blame(s, stands_out(s));
+            case Outcome::reset:
+                s.broke = desk_.now;
+                ends_.add(desk_.now, broken);
+                return blame(s, stands_out(s));
             case Outcome::full:
                 // Guards against servers that turn one product away and answer the others: penalised for all,
                 // they were over half of the pool, so that no penalty counted.
@@ -266,6 +275,12 @@
         }
     }
 
+    // Guards against calls that bring down the server that takes them, each further shot of which costs one
+    // more: a shot broken off may have done so, unless servers are mostly seen to outlive what breaks.
+    bool deadly(const Shot& shot) {
+        return shot.outcome == Outcome::reset && ends_.total(desk_.now, outlived) * 2 <= ends_.total(desk_.now, broken);
+    }
+
     void lay_ghosts(Server& s, Time sent_by) {
         const auto laid = std::erase_if(s.ghosts, [&](const auto& ghost) { return ghost.sent <= sent_by; });
         note_in_flight(-static_cast<int>(laid));
@@ -275,6 +290,11 @@
     Span silence(const Call& c) const {
         return std::min(most_silence, std::max((c.give_up - c.arrived) * 0.5, c.product->slo));
     }
+    // Guards against late answers where they cost more than a call rate-limited in time: what has no answer just
+    // before its SLO is given up, told so at once and called off.
+    bool cuts(const Call& c) const { return cutting_ && may_rate_limit(c); }
+    Span last_use(const Call& c) const { return c.product->slo * 0.95; }
+    Span overdue(const Call& c) const { return {3 * c.product->quick}; }
     void heard_nothing(const Shot& shot) {
         Server& s = *shot.server;
         if (s.last_heard >= shot.sent || last_heard_ <= shot.sent || s.quarantined) return;
@@ -323,7 +343,7 @@
         }
         median_share_ = median(shares, 0);
         for (auto* s : listed_) {
-            lay_ghosts(*s, desk_.now - penalty);
+            lay_ghosts(*s, desk_.now - (cutting_ ? least_slo_ : penalty));
             if (!s->member || !s->quarantined || desk_.now < s->next_probe) continue;
             s->next_probe = desk_.now + most_silence;
             probe(*s);
@@ -547,6 +567,7 @@
     double size_sum_ = 0, median_share_ = 0;
     bool wide_full_ = false;      // over three quarters turn the product away
     bool wide_ = false;           // over half the pool is penalised
+    const bool cutting_;          // calls are called off just before their SLO
     double usual_work_ = 0;       // told lately, in seconds
     enum { waited, foretold };
     Ring<2> paced_{most_silence * 2};   // what answers took, and the work told of them
@@ -564,6 +585,8 @@
         double room = 0;       // calls that it may hold, for the call being placed
         double floor = 0, held = 0, strength = 0;
     } sides_[2];
+    enum { broken, outlived };
+    Ring<2> ends_{interval};   // shots broken off, and servers that answered soon after
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server *replacement_ = nullptr, *replaced_ = nullptr;
 };
@@ -591,12 +614,28 @@
 // ones were fulfilled in time, so in wide trouble they dry up instead of adding to it.
 class Further : public Stage {
 public:
-    Further(Desk& desk, Chain& chain) : desk_(desk), chain_(chain), recent_(interval) {}
+    Further(Desk& desk, Chain& chain, Fleet& fleet)
+        : desk_(desk), chain_(chain), fleet_(fleet), recent_(interval) {}
     Step there(Call&) override {
         recent_.add(desk_.now, calls);
         return Step::pass;
     }
+    // Guards against servers that stand still for a moment, or hold one call up: once a call is out for longer
+    // than answers usually take, a copy goes elsewhere, where that is allowed and an answer is still of use.
+    // Copies dry up where they seldom come first, as in a queue, with heavy calls or where all is slow.
+    void later(Call& c) {
+        if (!desk_.set.duplicates || c.ended || c.shots.size() != 1 || !c.out() || !idempotent(c) || !fleet_.cuts(c)) return;
+        if (desk_.now - c.shots[0].sent + hair < fleet_.overdue(c)) return;
+        if (desk_.set.max_shots < 2 || desk_.now + Span{c.product->quick} >= useful_until(c)) return;
+        const double n = recent_.total(desk_.now, copies), first = (recent_.total(desk_.now, ahead) + 2) / (n + 2);
+        if (n >= 2 + recent_.total(desk_.now, calls) * (first - 0.5)) return;
+        if (chain_.there(c, this) == Step::keep) recent_.add(desk_.now, copies);
+    }
     Step back(Call& c, Shot& shot) override {
+        if (c.shots.size() == 2 && c.shots[0].out && shot.number == 1 && shot.outcome == Outcome::fulfilled &&
+            desk_.now <= c.arrived + c.product->slo)
+            recent_.add(desk_.now, ahead);
+        if (c.out()) return Step::keep;
         if (shot.number > 0 && shot.outcome == Outcome::fulfilled && desk_.now <= c.arrived + c.product->slo)
             recent_.add(desk_.now, won);
         if (c.ended || shot.outcome == Outcome::fulfilled || !worthwhile(c)) return Step::pass;
@@ -605,15 +644,17 @@
     }
 
 private:
-    enum { calls, made, won, lanes };
+    enum { calls, made, won, copies, ahead, lanes };
     bool worthwhile(const Call& c) {
         if (static_cast<int>(c.shots.size()) >= desk_.set.max_shots) return false;
+        if (fleet_.deadly(c.shots.back())) return false;
         if (desk_.now + Span{c.product->took} >= useful_until(c)) return false;
         const double success = (recent_.total(desk_.now, won) + 2) / (recent_.total(desk_.now, made) + 2);
         return recent_.total(desk_.now, made) < 2 + recent_.total(desk_.now, calls) * success / 2;
     }
     Desk& desk_;
     Chain& chain_;
+    Fleet& fleet_;
     Ring<lanes> recent_;
 };
 
@@ -622,7 +663,7 @@
 public:
     Send(Desk& desk, Fleet& fleet) : desk_(desk), fleet_(fleet) {}
     Step there(Call& c) override {
-        Server* server = fleet_.hopeless(c) ? nullptr : fleet_.choose(c);
+        Server* server = c.shots.empty() && fleet_.hopeless(c) ? nullptr : fleet_.choose(c);
         if (!server) return Step::end;
         Shot shot;
         shot.call = &c;
@@ -632,6 +673,8 @@
         c.shots.push_back(shot);
         desk_.out.send(c.id, server->id, c.give_up - desk_.now);
         desk_.out.wake(fleet_.silence(c), c.id);
+        if (shot.number == 0 && desk_.set.tail) desk_.out.wake(fleet_.last_use(c), c.id);
+        if (desk_.set.duplicates && shot.number == 0) desk_.out.wake(fleet_.overdue(c), c.id);
         ++server->named;
         fleet_.sent(c.shots.back());
         return Step::keep;
@@ -640,9 +683,11 @@
         fleet_.ended(shot);
         return Step::pass;
     }
-    void later(Call& c) {   // woken for it
-        if (c.out() && desk_.now - c.shots.back().sent + hair >= fleet_.silence(c))
-            fleet_.heard_nothing(c.shots.back());
+    Step later(Call& c) {   // woken for it
+        for (const auto& shot : c.shots)
+            if (shot.out && desk_.now - shot.sent + hair >= fleet_.silence(c)) fleet_.heard_nothing(shot);
+        if (c.ended || !c.out() || !fleet_.cuts(c) || desk_.now - c.arrived + hair < fleet_.last_use(c)) return Step::keep;
+        return Step::end;
     }
 
 private:
@@ -654,7 +699,7 @@
 public:
     Decisions(Time now, Settings settings, uint64_t seed, Actions& out)
         : desk_{std::move(settings), out, Pcg(seed), now}, fleet_(desk_), shares_(desk_),
-          further_(desk_, chain_), send_(desk_, fleet_), next_resize_(now + interval) {
+          further_(desk_, chain_, fleet_), send_(desk_, fleet_), next_resize_(now + interval) {
         chain_.add(shares_);
         chain_.add(further_);
         chain_.add(send_);
@@ -699,12 +744,13 @@
     }
     void shot_ended(Time now, CallId id, int number, Outcome outcome, bool call_done) override {
         auto* c = find(now, id);
-        if (!c || !c->out() || number + 1 != static_cast<int>(c->shots.size())) return;
-        Shot& shot = c->shots.back();
+        if (!c || number < 0 || number >= std::ssize(c->shots) || !c->shots[number].out) return;
+        Shot& shot = c->shots[number];
         shot.out = false;
         shot.outcome = outcome;
         if (call_done) c->ended = true;
         if (chain_.back(*c, shot) == Step::end && !c->ended) answer(*c);
+        if (call_done) over(*c);
         forget_if_over(*c);
     }
     void probed(Time now, ServerId id, bool reply) override {
@@ -714,8 +760,10 @@
         desk_.now = now;
         if (cookie == list_cookie) return desk_.out.watch_list();
         if (cookie != tick_cookie) {
-            if (auto* c = find(now, cookie)) send_.later(*c);
-            return;
+            auto* c = find(now, cookie);
+            if (!c) return;
+            if (send_.later(*c) == Step::end) return answer(*c);
+            return further_.later(*c);
         }
         fleet_.look();
         if (now >= next_resize_) {
@@ -742,7 +790,11 @@
     }
     void over(Call& c) {
         c.ended = true;
-        if (c.out() && desk_.set.cancel && !c.streaming) desk_.out.cancel(c.id, c.shots.back().number);
+        for (auto& shot : c.shots)
+            if (shot.out && !shot.called_off && desk_.set.cancel && !c.streaming) {
+                shot.called_off = true;
+                desk_.out.cancel(c.id, shot.number);
+            }
     }
     void forget_if_over(Call& c) {
         if (!c.ended || c.out()) return;
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -1,5 +1,6 @@
 // The things decided about: products, servers, API calls and their shots. They point to each other.
 #pragma once
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -21,6 +22,7 @@
     Repeat repeat = Repeat::idempotent;
     Group group = Group::all;
     double tardy_value = 0;    // share of the value still earned after the SLO
+    double quick = 0;          // seconds that the quickest fifth of the answers stay under, 0 = none seen yet
     double took = 0;           // seconds an answer lately took on an unhurried server, 0 = none seen yet
 };
 
@@ -54,7 +56,13 @@
     std::vector<Shot> shots;   // reserved up to the limit at arrival, so that pointers to shots hold
     bool ended = false;        // has had its final answer
     bool streaming = false;
-    bool out() const { return !shots.empty() && shots.back().out; }   // there is never more than one
+    bool out() const {
+        return std::any_of(shots.begin(), shots.end(), [](const Shot& s) { return s.out; });
+    }
+    bool served() const {
+        const auto answered = [](const Shot& s) { return !s.out && s.outcome == Outcome::fulfilled; };
+        return std::any_of(shots.begin(), shots.end(), answered);
+    }
 };
 
 enum Tally { answered, replied, failed, spent, expected, tallies };   // `replied`: seconds of the answered
@@ -66,6 +74,7 @@
     double size = 0;               // capacity hint, comparable between servers
     Time launched = long_ago;      // last start that was listed
     bool drained = false;          // listed as draining since that start
+    Time broke = long_ago;         // when a shot there was last broken off
     Time vouched = long_ago;       // when it was last listed as running, or answered a call
     Time absent_until = long_ago;  // gone by the list's word and by a failed connect
     double credit = 0;             // of a cold one: a call may go there when it reaches 1
