--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -64,6 +64,9 @@
     return true;
 }
 
+// Guards against calls that bring down whatever takes them: what broke off at two servers is not sent to a third.
+bool broke_off(const Shot& s) { return s.outcome == Outcome::reset; }
+
 // A rate-limit reply tells the client that a retry is harmless.
 bool may_rate_limit(const Call& c) {
     if (idempotent(c)) return true;
@@ -239,8 +242,6 @@
             case Outcome::fulfilled:
                 heard(s);
                 s.vouched = desk_.now;
-                if (shot.sent >= s.broke && desk_.now < s.broke + most_silence) ends_.add(desk_.now, outlived);
-                s.broke = long_ago;
                 s.answered_sent = std::max(s.answered_sent, shot.sent);
                 lay_ghosts(s, shot.sent);
                 side.lately.add(desk_.now, answers);
@@ -255,8 +256,6 @@
                 return;
             case Outcome::errored: heard(s); return blame(s, stands_out(s));
             case Outcome::reset:
-                s.broke = desk_.now;
-                ends_.add(desk_.now, broken);
                 return blame(s, stands_out(s));
             case Outcome::full:
                 // Guards against servers that turn one product away and answer the others: penalised for all,
@@ -275,12 +274,6 @@
         }
     }
 
-    // Guards against calls that bring down the server that takes them, each further shot of which costs one
-    // more: a shot broken off may have done so, unless servers are mostly seen to outlive what breaks.
-    bool deadly(const Shot& shot) {
-        return shot.outcome == Outcome::reset && ends_.total(desk_.now, outlived) * 2 <= ends_.total(desk_.now, broken);
-    }
-
     void lay_ghosts(Server& s, Time sent_by) {
         const auto laid = std::erase_if(s.ghosts, [&](const auto& ghost) { return ghost.sent <= sent_by; });
         note_in_flight(-static_cast<int>(laid));
@@ -585,8 +578,6 @@
         double room = 0;       // calls that it may hold, for the call being placed
         double floor = 0, held = 0, strength = 0;
     } sides_[2];
-    enum { broken, outlived };
-    Ring<2> ends_{interval};   // shots broken off, and servers that answered soon after
     Time last_heard_ = long_ago, next_replacement_ = long_ago;
     Server *replacement_ = nullptr, *replaced_ = nullptr;
 };
@@ -647,7 +638,7 @@
     enum { calls, made, won, copies, ahead, lanes };
     bool worthwhile(const Call& c) {
         if (static_cast<int>(c.shots.size()) >= desk_.set.max_shots) return false;
-        if (fleet_.deadly(c.shots.back())) return false;
+        if (std::count_if(c.shots.begin(), c.shots.end(), broke_off) > 1) return false;
         if (desk_.now + Span{c.product->took} >= useful_until(c)) return false;
         const double success = (recent_.total(desk_.now, won) + 2) / (recent_.total(desk_.now, made) + 2);
         return recent_.total(desk_.now, made) < 2 + recent_.total(desk_.now, calls) * success / 2;
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -74,7 +74,6 @@
     double size = 0;               // capacity hint, comparable between servers
     Time launched = long_ago;      // last start that was listed
     bool drained = false;          // listed as draining since that start
-    Time broke = long_ago;         // when a shot there was last broken off
     Time vouched = long_ago;       // when it was last listed as running, or answered a call
     Time absent_until = long_ago;  // gone by the list's word and by a failed connect
     double credit = 0;             // of a cold one: a call may go there when it reaches 1
