Count a client's further try from its first one, as far as its patience tells

Change: the mark of a repeat reaches the decisions; where its patience is shorter than that of first tries it was cut by the client timeout, which tells when the first try came. What is past its SLO is turned away.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -226,12 +226,13 @@
     void accept(Reader in) {
         const auto id = in.number<uint64_t>();
         const auto key = in.number<uint64_t>();
-        const bool hinted = in.number<uint8_t>() & 1;
+        const auto bits = in.number<uint8_t>();
+        const bool hinted = bits & 1, again = bits & 2;
         const auto product = in.number<uint8_t>();
         const auto tenant = in.number<uint16_t>();
         const Span patience{in.seconds()};
         const Span work{hinted ? in.seconds() : 0};
-        balancer().call_arrived(now_, id, product, tenant, patience, work, key);
+        balancer().call_arrived(now_, id, product, tenant, patience, work, key, again);
     }
     void health(Reader in) {
         const auto id = in.server();
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -192,12 +192,18 @@
         const double told = paced_.total(desk_.now, foretold);
         return told > 0 ? paced_.total(desk_.now, waited) / told : 0;
     }
+    // A client's further try whose time is cut short by the client timeout tells when the first one came.
+    Time first_came(const Product& p, Time give_up) const {
+        const bool cut = give_up - desk_.now < p.patience * 0.98;
+        return cut ? std::min(desk_.now, give_up - p.client_timeout) : desk_.now;
+    }
     // Guards against calls that can only be late, where that costs more than a refusal, holding up others. As
     // many as cost nothing are let in while little of the room is taken: late, they still have some value.
     bool hopeless(const Call& c) {
         if (!desk_.set.tail) return false;
         auto& recent = tail_[kind(c)];
         recent.add(desk_.now, asked);
+        if (cuts(c) && desk_.now > c.arrived + last_use(c)) return true;
         const Span expected = c.work * pace();
         if (expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo) return false;
         const double borne = desk_.set.borne_misses * recent.total(desk_.now, asked);
@@ -706,7 +712,7 @@
     void list_failed(Time now) override { at(now).list_failed(); }
 
     void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience,
-                      Span work, uint64_t key) override {
+                      Span work, uint64_t key, bool again) override {
         desk_.now = now;
         if (product >= desk_.set.products.size()) throw std::runtime_error("unknown product");
         auto [it, fresh] = calls_.try_emplace(id);
@@ -717,8 +723,9 @@
         c.tenant = tenant;
         c.work = work;
         c.key = desk_.set.warm_keys ? key : 0;
-        c.arrived = now;
         c.give_up = now + patience;
+        c.arrived = again ? fleet_.first_came(*c.product, c.give_up) : now;
+        if (!again) c.product->patience = std::max(c.product->patience, patience);
         c.shots.reserve(desk_.set.max_shots);
         fleet_.weigh(c);
         if (patience <= Span{} || chain_.there(c) == Step::end) answer(c);
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -36,9 +36,10 @@
                        Time launched) = 0;
     virtual void list_ends() = 0;
     virtual void list_failed(Time now) = 0;
-    // `work`: what the call is told to cost a server, `key`: what it concerns; 0 if that is not told.
+    // `work`: what the call is told to cost a server, `key`: what it concerns; 0 if that is not told. `again`:
+    // it is told to be a further try of the client.
     virtual void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience,
-                              Span work, uint64_t key) = 0;
+                              Span work, uint64_t key, bool again) = 0;
     virtual void client_left(Time now, CallId id) = 0;
     virtual void stream_began(Time now, CallId id, int shot) = 0;
     virtual void shot_ended(Time now, CallId id, int shot, Outcome outcome, bool call_done) = 0;
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -19,6 +19,7 @@
     std::string name;
     double value = 1;
     Span slo, client_timeout, window;
+    Span patience;             // of the most patient first tries
     Repeat repeat = Repeat::idempotent;
     Group group = Group::all;
     double tardy_value = 0;    // share of the value still earned after the SLO
--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -132,7 +132,7 @@
     const Span ours = patience - std::min(s_.settings().grace_to_answer, patience * 0.1);
     const auto id = call.id;
     s_.balancer->call_arrived(s_.loop.now(), id, static_cast<uint32_t>(call.ask.product), call.ask.tenant, ours,
-                              call.ask.work, call.ask.key);
+                              call.ask.work, call.ask.key, false);
     s_.calls.forget_if_over(call);
 }
 
--- a/tests/play.hpp
+++ b/tests/play.hpp
@@ -70,9 +70,9 @@
     }
     // Takes an API call; answers the server of its first shot, 0 if it got none.
     ServerId call(CallId id, uint32_t product = 0, double patience = 4, uint32_t tenant = 0,
-                  double work = 0, uint64_t key = 0) {
+                  double work = 0, uint64_t key = 0, bool again = false) {
         const size_t before = done.size();
-        balancer->call_arrived(now, id, product, tenant, Span{patience}, Span{work}, key);
+        balancer->call_arrived(now, id, product, tenant, Span{patience}, Span{work}, key, again);
         for (size_t i = before; i < done.size(); ++i)
             if (done[i].what == "send") return done[i].server;
         return 0;
