Turn away a tenant's or product's calls that miss their SLO at every server

Told from slow servers by kind: trace at 12 s, of 37 ended shots of a proxy 28 were of that tenant, nearly all late, the others' nearly all in time, over all members alike. Change: where late costs more than refused, a tenant or product three quarters of whose last calls miss their SLO, while half of the others' don't, is turned away but for one call in 5 s. Also covers a product that a change made heavy. Does harm where a small tenant has six late calls by chance, for 5 s.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <unordered_map>
 
 #include "chain.hpp"
@@ -192,6 +193,18 @@
         const double told = paced_.total(desk_.now, foretold);
         return told > 0 ? paced_.total(desk_.now, waited) / told : 0;
     }
+    // Guards against one tenant's or product's calls taking long at every server and holding up all others: while
+    // most of them miss their SLO and most others don't, all are turned away but one in a while, to see it end.
+    bool drags(const Call& c) {
+        for (auto* kind : {&tenants_[c.tenant], &products_[this->kind(c)]}) {
+            const double n = kind->ends.total(desk_.now, asked), bad = kind->ends.total(desk_.now, missed);
+            const double others = ends_.total(desk_.now, asked) - n, worse = ends_.total(desk_.now, missed) - bad;
+            if (n < 6 || others < 4 || 4 * bad < 3 * n || 2 * worse > others || desk_.now >= kind->tried + penalty) continue;
+            return true;
+        }
+        tenants_[c.tenant].tried = products_[kind(c)].tried = desk_.now;
+        return false;
+    }
     // A client's further try whose time is cut short by the client timeout tells when the first one came.
     Time first_came(const Product& p, Time give_up) const {
         const bool cut = give_up - desk_.now < p.patience * 0.98;
@@ -203,7 +216,7 @@
         if (!desk_.set.tail) return false;
         auto& recent = tail_[kind(c)];
         recent.add(desk_.now, asked);
-        if (cuts(c) && desk_.now > c.arrived + last_use(c)) return true;
+        if (cuts(c) && (desk_.now > c.arrived + last_use(c) || drags(c))) return true;
         const Span expected = c.work * pace();
         if (expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo) return false;
         const double borne = desk_.set.borne_misses * recent.total(desk_.now, asked);
@@ -226,13 +239,20 @@
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
         // A shot given up mostly still runs or waits there, so it counts until one sent later is answered.
         const bool given_up = shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled;
-        const bool beaten = shot.call->served();   // by the call's other copy
+        const bool beaten = given_up && shot.call->served();   // by the call's other copy
         if (given_up && !beaten && shot.sent >= s.answered_sent) s.ghosts.push_back({shot.sent, shot.call->weight});
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
         const bool fulfilled = shot.outcome == Outcome::fulfilled;
         if (desk_.set.tail && !beaten && (given_up || (fulfilled && desk_.now > shot.call->arrived + p.slo)))
             tail_[kind(*shot.call)].add(desk_.now, missed);
+        if (cutting_ && !beaten && (given_up || fulfilled)) {
+            const bool late = given_up || desk_.now > shot.call->arrived + p.slo;
+            for (auto* ends : {&ends_, &tenants_[shot.call->tenant].ends, &products_[kind(*shot.call)].ends}) {
+                ends->add(desk_.now, asked);
+                if (late) ends->add(desk_.now, missed);
+            }
+        }
         if (given_up || fulfilled) {
             side.lately.add(desk_.now, shots);
             side.lately.add(desk_.now, time, std::min(took, least_slo_.s));   // else one that hangs says all
@@ -571,6 +591,12 @@
     enum { waited, foretold };
     Ring<2> paced_{most_silence * 2};   // what answers took, and the work told of them
     enum { asked, missed };
+    struct Kind {
+        Ring<2> ends{penalty};
+        Time tried = long_ago;
+    };
+    std::map<uint32_t, Kind> tenants_, products_;
+    Ring<2> ends_{penalty};
     std::vector<Ring<2>> tail_;   // by product: calls, and those that missed the SLO
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
