--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -95,6 +95,7 @@
     }
     void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size, Time launched) {
         auto& slot = known_[id];
+        if (slot && launched > slot->launched && !slot->drained) restarted_ = desk_.now;
         if (!slot) {
             slot = std::make_unique<Server>(penalty);
             slot->full_until.assign(desk_.set.products.size(), long_ago);
@@ -300,6 +301,8 @@
         }
     }
 
+    bool restarting() const { return desk_.now < restarted_ + interval * 2; }
+
     void lay_ghosts(Server& s, Time sent_by) {
         const auto laid = std::erase_if(s.ghosts, [&](const auto& ghost) { return ghost.sent <= sent_by; });
         note_in_flight(-static_cast<int>(laid));
@@ -610,7 +613,7 @@
         double room = 0;       // calls that it may hold, for the call being placed
         double floor = 0, held = 0, strength = 0;
     } sides_[2];
-    Time last_heard_ = long_ago, next_replacement_ = long_ago;
+    Time last_heard_ = long_ago, restarted_ = long_ago, next_replacement_ = long_ago;
     Server *replacement_ = nullptr, *replaced_ = nullptr;
 };
 
@@ -670,7 +673,7 @@
     enum { calls, made, won, copies, ahead, lanes };
     bool worthwhile(const Call& c) {
         if (static_cast<int>(c.shots.size()) >= desk_.set.max_shots) return false;
-        if (std::count_if(c.shots.begin(), c.shots.end(), broke_off) > 1) return false;
+        if (std::count_if(c.shots.begin(), c.shots.end(), broke_off) > !fleet_.restarting()) return false;
         if (desk_.now + Span{c.product->took} >= useful_until(c)) return false;
         const double success = (recent_.total(desk_.now, won) + 2) / (recent_.total(desk_.now, made) + 2);
         return recent_.total(desk_.now, made) < 2 + recent_.total(desk_.now, calls) * success / 2;
