Limit each zone apart and take members abroad from the zone least at risk

Change: room, rate and risk by zone; members abroad from each zone in turn, the least at risk first; the risk is remembered for a minute. What is known of zones and of kinds of calls is data in model.hpp now.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -5,6 +5,7 @@
 #include "logic.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <map>
@@ -65,9 +66,6 @@
     return true;
 }
 
-// Guards against calls that bring down whatever takes them: what broke off at two servers is not sent to a third.
-bool broke_off(const Shot& s) { return s.outcome == Outcome::reset; }
-
 // A rate-limit reply tells the client that a retry is harmless.
 bool may_rate_limit(const Call& c) {
     if (idempotent(c)) return true;
@@ -80,6 +78,8 @@
     explicit Fleet(Desk& desk)
         : desk_(desk), cutting_(desk.set.tail && desk.set.cancel), started_(desk.now) {
         tail_.assign(desk.set.products.size(), Ring<2>(penalty));
+        products_.assign(desk.set.products.size(), Kind(penalty));
+        tenants_.assign(desk.set.allowances.size() + 1, Kind(penalty));
         for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
     }
     Server* find(ServerId id) {
@@ -161,17 +161,18 @@
         wide_full_ = 4 * std::count_if(members_.begin(), members_.end(), full) > 3 * std::ssize(members_);
         const double part = most_wait * worthiness(c), all = least_slo_.s * part;
         const double wait = all - (desk_.now - c.arrived).s * part;
-        for (auto& side : sides_) {
+        for (auto& [zone, side] : sides_) {
             side.risk = side.late.total(desk_.now, risked) / (side.late.total(desk_.now, tried) + 2);
             const double n = side.lately.total(desk_.now, shots) + 2;
-            // Where late calls are called off a queue can't outgrow the SLO, so that chance has all its slack.
-            const double calm = cutting_ ? 1 : std::max(0.0, 1 - side.lately.total(desk_.now, time) / n / all);
+            const double taken = side.lately.total(desk_.now, spans) / n / all;
+            // Where late calls are called off a queue can't outgrow the SLO: chance has all its slack.
+            const double calm = cutting_ ? 1 : std::max(0.0, 1 - taken);
             side.room = side.rate * wait;
             if (wait > 0) side.room += 3 * calm * std::sqrt((side.room + cutting_) / std::max(1.0, share()));
             side.floor = side.held = side.strength = 0;
         }
         for (auto* s : members_) {
-            auto& side = sides_[far(*s)];
+            auto& side = side_of(*s);
             side.floor += std::max(1.0, share()) / members_.size();
             side.held += queue(*s);
             if (!s->quarantined && !penalised(*s, c)) side.strength += strength(*s);
@@ -194,16 +195,17 @@
         const double told = paced_.total(desk_.now, foretold);
         return told > 0 ? paced_.total(desk_.now, waited) / told : 0;
     }
-    // Guards against one tenant's or product's calls taking long at every server and holding up all others: while
-    // most of them miss their SLO and most others don't, all are turned away but one in a while, to see it end.
+    // Guards against one tenant's or product's calls taking long at every server and holding up all others:
+    // while three quarters of them miss their SLO and most others don't, all but one a while are turned away.
     bool drags(const Call& c) {
-        for (auto* kind : {&tenants_[c.tenant], &products_[this->kind(c)]}) {
-            const double n = kind->ends.total(desk_.now, asked), bad = kind->ends.total(desk_.now, missed);
-            const double others = ends_.total(desk_.now, asked) - n, worse = ends_.total(desk_.now, missed) - bad;
-            if (n < 6 || others < 4 || 4 * bad < 3 * n || 2 * worse > others || desk_.now >= kind->tried + penalty) continue;
-            return true;
+        for (auto* kind : kinds(c)) {
+            const double n = kind->count(desk_.now, asked), bad = kind->count(desk_.now, missed);
+            const double others = all_.count(desk_.now, asked) - n;
+            const double worse = all_.count(desk_.now, missed) - bad;
+            const bool alone = n >= 6 && others >= 4 && 4 * bad >= 3 * n && 2 * worse <= others;
+            if (alone && desk_.now < kind->tried + penalty) return true;
         }
-        tenants_[c.tenant].tried = products_[kind(c)].tried = desk_.now;
+        for (auto* kind : kinds(c)) kind->tried = desk_.now;
         return false;
     }
     // A client's further try whose time is cut short by the client timeout tells when the first one came.
@@ -221,7 +223,8 @@
         const Span expected = c.work * pace();
         if (expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo) return false;
         const double borne = desk_.set.borne_misses * recent.total(desk_.now, asked);
-        const double room = (sides_[0].rate + sides_[1].rate) * most_wait * least_slo_.s;
+        double room = 0;
+        for (const auto& [zone, side] : sides_) room += side.rate * most_wait * least_slo_.s;
         if (3 * in_flight_ > room || recent.total(desk_.now, missed) + 1 > borne) return true;
         recent.add(desk_.now, missed);
         return false;
@@ -236,27 +239,25 @@
     void ended(Shot& shot) {
         Server& s = *shot.server;
         Product& p = *shot.call->product;
-        Side& side = sides_[far(s)];
+        Zone& side = side_of(s);
         s.open.erase(std::find(s.open.begin(), s.open.end(), &shot));
         // A shot given up mostly still runs or waits there, so it counts until one sent later is answered.
         const bool given_up = shot.outcome == Outcome::timed_out || shot.outcome == Outcome::cancelled;
         const bool beaten = given_up && shot.call->served();   // by the call's other copy
-        if (given_up && !beaten && shot.sent >= s.answered_sent) s.ghosts.push_back({shot.sent, shot.call->weight});
+        const bool holds = given_up && !beaten && shot.sent >= s.answered_sent;
+        if (holds) s.ghosts.push_back({shot.sent, shot.call->weight});
         else note_in_flight(-1);
         const double took = (desk_.now - shot.sent).s;
         const bool fulfilled = shot.outcome == Outcome::fulfilled;
-        if (desk_.set.tail && !beaten && (given_up || (fulfilled && desk_.now > shot.call->arrived + p.slo)))
-            tail_[kind(*shot.call)].add(desk_.now, missed);
-        if (cutting_ && !beaten && (given_up || fulfilled)) {
+        if (!beaten && (given_up || fulfilled)) {
             const bool late = given_up || desk_.now > shot.call->arrived + p.slo;
-            for (auto* ends : {&ends_, &tenants_[shot.call->tenant].ends, &products_[kind(*shot.call)].ends}) {
-                ends->add(desk_.now, asked);
-                if (late) ends->add(desk_.now, missed);
-            }
+            if (late) tail_[kind(*shot.call)].add(desk_.now, missed);
+            all_.add(desk_.now, late);
+            for (auto* kind : kinds(*shot.call)) kind->add(desk_.now, late);
         }
         if (given_up || fulfilled) {
             side.lately.add(desk_.now, shots);
-            side.lately.add(desk_.now, time, std::min(took, least_slo_.s));   // else one that hangs says all
+            side.lately.add(desk_.now, spans, std::min(took, least_slo_.s));   // else one that hangs says all
             side.late.add(desk_.now, tried);
             side.late.add(desk_.now, risked, std::min(1.0, std::pow(took / p.slo.s, 4)));
         }
@@ -312,8 +313,8 @@
     Span silence(const Call& c) const {
         return std::min(most_silence, std::max((c.give_up - c.arrived) * 0.5, c.product->slo));
     }
-    // Guards against late answers where they cost more than a call rate-limited in time: what has no answer just
-    // before its SLO is given up, told so at once and called off.
+    // Guards against late answers where they cost more than a call rate-limited in time: what has no answer
+    // just before its SLO is given up, told so at once and called off.
     bool cuts(const Call& c) const { return cutting_ && may_rate_limit(c); }
     Span last_use(const Call& c) const { return c.product->slo * 0.95; }
     Span overdue(const Call& c) const { return {3 * c.product->quick}; }
@@ -356,7 +357,7 @@
     // Every tick: take rates and the median, look after the quarantined, replace repeat offenders.
     void look() {
         const Span seen = std::min(desk_.now - started_, most_silence * 2);
-        for (auto& side : sides_)
+        for (auto& [zone, side] : sides_)
             side.rate = std::max(side.rate * 0.95, side.lately.total(desk_.now, answers) / seen.s);
         std::vector<double> shares;
         for (auto* s : members_) {
@@ -375,9 +376,9 @@
     }
 
 private:
-    // Where only draining binds, the list's word that a server is gone is one sign among others: with a failed
-    // connect it is believed for an interval, alone it is not. Guards against lists that shrink, are empty or
-    // old, or come from a process check that fails; a drain told once holds, whatever is listed later.
+    // Where only draining binds, the list's word that a server is gone is one sign among others: with a
+    // failed connect it is believed for an interval, alone it is not. Guards against lists that shrink, are
+    // empty or old, or come from a process check that fails; a drain told once holds, whatever comes later.
     bool serves(const Server& s) const {
         if (!desk_.set.drain_binds_alone) return s.state == State::ready;
         if (s.drained || s.state == State::ready) return !s.drained;
@@ -408,13 +409,18 @@
     // than a call in flight, two of three are of the own zone, as long as it has any. Guards against a zone
     // that jams while the next is idle, out of reach of balancers whose small pools all lie in it.
     void arrange() {
+        std::map<std::pair<double, uint16_t>, std::vector<Server*>> zones;   // abroad, by risk
         std::vector<Server*> parts[2];
         for (auto* s : listed_)
-            if (serves(*s)) parts[far(*s)].push_back(s);
-        for (auto& part : parts) {
+            if (serves(*s)) zones[{far(*s) ? 1 + side_of(*s).risk : 0, far(*s) ? s->zone : 0}].push_back(s);
+        for (auto& [zone, part] : zones) {
             const size_t from = desk_.set.me % desk_.set.balancers * part.size() / desk_.set.balancers;
             std::rotate(part.begin(), part.begin() + from, part.end());
+            if (zone.first == 0) parts[0] = part;
         }
+        for (size_t i = 0, left = 1; left--; ++i)
+            for (auto& [zone, part] : zones)
+                if (zone.first > 0 && i < part.size()) parts[1].push_back(part[i]), left = 1;
         order_.clear();
         for (size_t home = 0, other = 0; home + other < parts[0].size() + parts[1].size();) {
             const bool cross = home == parts[0].size() || (order_.size() % 3 == 2 && other < parts[1].size());
@@ -482,8 +488,8 @@
         const auto stuck = [by](auto* shot) { return shot->sent <= by; };
         return s.held() - std::count_if(s.open.begin(), s.open.end(), stuck);
     }
-    bool has_room(Server& s) const {
-        const auto& side = sides_[far(s)];
+    bool has_room(Server& s) {
+        const auto& side = side_of(s);
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
         if (queue(s) >= std::max({1.0, share() / members_.size(), own})) return false;
         // Guards against cold servers left idle, and cold, while calls are turned away: in a release of the
@@ -494,6 +500,7 @@
     // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
     // with more traffic than servers would turn calls away next to idle ones.
     bool far(const Server& s) const { return !at_home(s) && price_of_crossing() > 1; }
+    Zone& side_of(const Server& s) { return sides_[far(s) ? s.zone : desk_.set.zone]; }
     bool at_home(const Server& s) const { return s.zone == desk_.set.zone; }
     double price_of_crossing() const { return desk_.set.cross_price * penalty_weight / 2; }   // in calls
     double worthiness(const Call& c) const {
@@ -503,6 +510,9 @@
         return best > 0 && c.product->took > 0 ? 0.6 + 0.4 * c.worth / c.product->took / best : 0.6;
     }
 
+    std::array<Kind*, 2> kinds(const Call& c) {
+        return {&tenants_[std::min<size_t>(c.tenant, tenants_.size() - 1)], &products_[kind(c)]};
+    }
     size_t kind(const Call& c) const { return c.product - desk_.set.products.data(); }
     bool penalised(const Server& s, const Call& c) const {
         return (!wide_full_ && desk_.now < s.full_until[kind(c)]) || (!wide_ && desk_.now < s.penalty_until);
@@ -541,14 +551,14 @@
         const double usual = s.record.total(desk_.now, expected), took = s.record.total(desk_.now, spent);
         return usual > 0 ? std::max(0.0, (took - usual) / (usual + 2 * c.product->took) - 0.25) : 0;
     }
-    double busyness(Server& s, const Call& c, double warm) const {
+    double busyness(Server& s, const Call& c, double warm) {
         const double members = std::max<size_t>(1, members_.size());
         double own = s.load();
         const bool newcomer = warm >= 1 && desk_.now < s.joined + penalty;
         if (newcomer) own = std::max(own, in_flight_ / members);
         double cost = own / (relative_size(s) * warm);
         cost += hidden(s, c);
-        if (price_of_crossing() > 1) cost += penalty_weight / 2 * sides_[far(s)].risk;
+        if (price_of_crossing() > 1) cost += penalty_weight / 2 * side_of(s).risk;
         if (!at_home(s)) cost += price_of_crossing();
         for (const auto& shot : c.shots)
             if (shot.server == &s) cost += penalty_weight;   // a further shot goes elsewhere
@@ -593,26 +603,12 @@
     double usual_work_ = 0;       // told lately, in seconds
     enum { waited, foretold };
     Ring<2> paced_{most_silence * 2};   // what answers took, and the work told of them
-    enum { asked, missed };
-    struct Kind {
-        Ring<2> ends{penalty};
-        Time tried = long_ago;
-    };
-    std::map<uint32_t, Kind> tenants_, products_;
-    Ring<2> ends_{penalty};
+    std::vector<Kind> tenants_, products_;
+    Kind all_{penalty};
     std::vector<Ring<2>> tail_;   // by product: calls, and those that missed the SLO
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
     Time started_;
-    enum { answers, shots, time, lanes };
-    enum { tried, risked };
-    struct Side {              // the own zone, and the others where they are limited apart
-        Ring<lanes> lately{most_silence * 2};
-        Ring<2> late{penalty};
-        double risk = 0;       // share of worth that lateness takes there
-        double rate = 0;       // answers a second, at best lately
-        double room = 0;       // calls that it may hold, for the call being placed
-        double floor = 0, held = 0, strength = 0;
-    } sides_[2];
+    std::map<uint16_t, Zone> sides_;   // by zone
     Time last_heard_ = long_ago, restarted_ = long_ago, next_replacement_ = long_ago;
     Server *replacement_ = nullptr, *replaced_ = nullptr;
 };
@@ -646,14 +642,16 @@
         recent_.add(desk_.now, calls);
         return Step::pass;
     }
-    // Guards against servers that stand still for a moment, or hold one call up: once a call is out for longer
-    // than answers usually take, a copy goes elsewhere, where that is allowed and an answer is still of use.
-    // Copies dry up where they seldom come first, as in a queue, with heavy calls or where all is slow.
+    // Guards against servers that stand still for a moment, or hold one call up: once a call is out for
+    // longer than answers usually take, a copy goes elsewhere, where allowed and still of use. Copies dry up
+    // where they seldom come first, as in a queue, with heavy calls or where all is slow.
     void later(Call& c) {
-        if (!desk_.set.duplicates || c.ended || c.shots.size() != 1 || !c.out() || !idempotent(c) || !fleet_.cuts(c)) return;
+        if (c.ended || c.shots.size() != 1 || !c.out() || !idempotent(c) || c.streaming) return;
+        if (!fleet_.cuts(c) || !desk_.set.duplicates || desk_.set.max_shots < 2) return;
         if (desk_.now - c.shots[0].sent + hair < fleet_.overdue(c)) return;
-        if (desk_.set.max_shots < 2 || desk_.now + Span{c.product->quick} >= useful_until(c)) return;
-        const double n = recent_.total(desk_.now, copies), first = (recent_.total(desk_.now, ahead) + 2) / (n + 2);
+        if (desk_.now + Span{c.product->quick} >= useful_until(c)) return;
+        const double n = recent_.total(desk_.now, copies);
+        const double first = (recent_.total(desk_.now, ahead) + 2) / (n + 2);
         if (n >= 2 + recent_.total(desk_.now, calls) * (first - 0.5)) return;
         if (chain_.there(c, this) == Step::keep) recent_.add(desk_.now, copies);
     }
@@ -673,6 +671,9 @@
     enum { calls, made, won, copies, ahead, lanes };
     bool worthwhile(const Call& c) {
         if (static_cast<int>(c.shots.size()) >= desk_.set.max_shots) return false;
+        // Guards against calls that bring down whatever takes them: what broke off at two servers is not sent
+        // to a third, nor what broke off at all while the list shows servers starting anew.
+        const auto broke_off = [](const Shot& s) { return s.outcome == Outcome::reset; };
         if (std::count_if(c.shots.begin(), c.shots.end(), broke_off) > !fleet_.restarting()) return false;
         if (desk_.now + Span{c.product->took} >= useful_until(c)) return false;
         const double success = (recent_.total(desk_.now, won) + 2) / (recent_.total(desk_.now, made) + 2);
@@ -712,8 +713,8 @@
     Step later(Call& c) {   // woken for it
         for (const auto& shot : c.shots)
             if (shot.out && desk_.now - shot.sent + hair >= fleet_.silence(c)) fleet_.heard_nothing(shot);
-        if (c.ended || !c.out() || !fleet_.cuts(c) || desk_.now - c.arrived + hair < fleet_.last_use(c)) return Step::keep;
-        return Step::end;
+        const bool in_time = desk_.now - c.arrived + hair < fleet_.last_use(c);
+        return c.ended || !c.out() || in_time || !fleet_.cuts(c) ? Step::keep : Step::end;
     }
 
 private:
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -66,6 +66,31 @@
     }
 };
 
+// How tenants' or products' calls fare, to find those that take long at every server.
+enum Faring { asked, missed };
+struct Kind {
+    Ring<2> ends;
+    Time tried = long_ago;     // when one was last let in
+    explicit Kind(Span memory) : ends(memory) {}
+    double count(Time now, Faring what) { return ends.total(now, what); }
+    void add(Time now, bool late) {
+        ends.add(now, asked);
+        if (late) ends.add(now, missed);
+    }
+};
+
+// What is known of a zone whose servers are limited apart, or of all of them.
+enum Pace { answers, shots, spans, paces };
+enum Lateness { tried, risked };
+struct Zone {
+    Ring<paces> lately{Span{2}};
+    Ring<2> late{Span{60}};
+    double risk = 0;           // share of worth that lateness takes there
+    double rate = 0;           // answers a second, at best lately
+    double room = 0;           // calls that it may hold, for the call being placed
+    double floor = 0, held = 0, strength = 0;
+};
+
 enum Tally { answered, replied, failed, spent, expected, tallies };   // `replied`: seconds of the answered
 
 struct Server {
