Wrong lists in the lab and on sockets; a drain holds until a later start is told as ready

Cause: the proxy forgot a server, and closed its connections, as soon as the list called it gone, so what the decisions sent there would never have gone out; and what the list no longer named for long was forgotten by the decisions at once. A drain was also lifted by a later start that was told as gone, not as ready. Change: where only draining binds, both remember a server for a minute after it was last known to be listed or answered (most_memory); a drain holds until a later start is listed as running.

--- a/src/lab/oracle.hpp
+++ b/src/lab/oracle.hpp
@@ -103,6 +103,8 @@
         std::string uid;
         bool ready = false;
         Time launched = long_ago;
+        bool drained = false;   // told as draining, and not as started anew since
+        bool open = false;      // told as ready, and not as draining since
     };
     void list_told(int proxy, bool whole, const std::vector<Told>& entries);
     void asks(int proxy, bool open);   // whether a call to discovery is open
--- a/src/lab/registry.cpp
+++ b/src/lab/registry.cpp
@@ -1,14 +1,34 @@
 #include "lab/registry.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <sstream>
+#include <utility>
 
 #include "wire/ask.hpp"
 #include "wire/text.hpp"
 
 namespace myrtleroute::lab {
 
+void Registry::put(Time at, const Entry& entry) {
+    denied_.erase(entry.uid);
+    changes_.push_back({at, entry});
+}
+
+void Registry::lies(Time at, double part) {
+    const auto all = standing(rev());
+    for (size_t i = 0; i < all.size() && i < std::ceil(part * static_cast<double>(all.size())); ++i) {
+        denied_[all[i].uid] = all[i];
+        changes_.push_back({at, all[i]});
+        changes_.back().entry.state = Entry::State::deleted;
+    }
+}
+
+void Registry::tells_truth(Time at) {
+    for (const auto& [uid, entry] : std::exchange(denied_, {})) changes_.push_back({at, entry});
+}
+
 std::vector<Entry> Registry::changed(uint64_t from, uint64_t to) const {
     std::map<std::string, Entry> latest;
     for (uint64_t i = from; i < to; ++i) latest[changes_[i].entry.uid] = changes_[i].entry;
@@ -46,7 +66,8 @@
 std::vector<Oracle::Told> Registry::told(const std::vector<Entry>& entries) {
     std::vector<Oracle::Told> all;
     for (const auto& e : entries)
-        all.push_back({e.server, e.uid, e.state == Entry::State::serving, e.launched.s > 0 ? e.launched : long_ago});
+        all.push_back({e.server, e.uid, e.state == Entry::State::serving, e.launched.s > 0 ? e.launched : long_ago,
+                       e.state == Entry::State::draining});
     return all;
 }
 
--- a/src/lab/registry.hpp
+++ b/src/lab/registry.hpp
@@ -17,7 +17,11 @@
 
 class Registry {
 public:
-    void put(Time at, const Entry& entry) { changes_.push_back({at, entry}); }
+    // What is true: it is told, also while the list lies about the others.
+    void put(Time at, const Entry& entry);
+    // From now on a part of what stands is called gone, until the truth is told again.
+    void lies(Time at, double part);
+    void tells_truth(Time at);
     uint64_t rev() const { return changes_.size(); }
     // Those that stand after the first `rev` changes, or the changes from there on; the latest of each uid.
     std::vector<Entry> standing(uint64_t rev) const;
@@ -33,6 +37,7 @@
         Entry entry;
     };
     std::vector<Change> changes_;
+    std::map<std::string, Entry> denied_;   // by uid, as it truly is
 };
 
 // Discovery at one address: a thing that answers calls for the list and holds watches. `first` is what it
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -46,7 +46,8 @@
     X(descriptors, proxy, "the process may open hardly any more descriptors")                                \
     X(pause, proxy, "the process is stopped; its clock jumps when it goes on")                               \
     X(restart, proxy, "SIGTERM, and a new start with the list as it was then")                               \
-    X(killed, proxy, "SIGKILL with calls out, and a new start with a list that is old")
+    X(killed, proxy, "SIGKILL with calls out, and a new start with a list that is old")                      \
+    X(wrong_list, all, "the list calls up to all servers gone, then names them again as they are")
 
 enum class FaultKind {
 #define X(name, whom, text) name,
@@ -77,6 +78,7 @@
     int proxies = 4, servers = 8;
     double calls_a_second = 25;   // to each proxy
     double rough = 0;             // share of reads, writes and segments that are cut short
+    bool drain_alone = false;     // only draining binds: what the list calls gone may still be sent to
     std::vector<Fault> faults;
     std::vector<std::pair<uint64_t, uint64_t>> left_out;   // calls that are not made: first, last
 };
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -29,6 +29,7 @@
         << "\"MaxRetryAfterS\":2,\"ConnectTimeoutS\":0.25,\"IdleCloseS\":10},\"Guarantees\":{\"GraceToAnswerS\":"
         << answer_grace.s << ",\"AskWithinS\":" << ask_within.s << ",\"WarmAfterS\":" << warm_after.s
         << ",\"StartCapacity\":" << start_capacity << ",\"TipMultiple\":" << tip_multiple
+        << (scenario.drain_alone ? ",\"DrainBindsAlone\":true" : "")
         << "},\"Prices\":{\"CrossZone\":0.02}}}";
     return out.str();
 }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 #include "chain.hpp"
 #include "median.hpp"
@@ -20,7 +21,6 @@
 
 // The design's figures. Spans and counts that settings give are used as ratios where they are needed.
 constexpr Span interval{10};                       // between resizes of the pool
-constexpr Span memory = interval * 6;              // of a server that is gone and answers nothing
 constexpr Span tick = interval * (1.0 / 40);       // between looks at medians, limit and quarantine
 constexpr Span penalty{5};                         // how long a failure counts
 constexpr double penalty_weight = 25;              // calls busier, also the most a member should carry
@@ -91,7 +91,8 @@
     void list_starts(bool whole, bool cached) {
         if (!cached) asked_again_ = 0;
         if (whole)
-            for (auto* s : listed_) s->state = State::gone;
+            for (auto* s : listed_)
+                if (std::exchange(s->state, State::gone) != State::gone) s->vouched = desk_.now;
     }
     void lists(ServerId id, uint16_t zone, uint16_t cell, State state, double size, Time launched) {
         auto& slot = known_[id];
@@ -104,9 +105,10 @@
         }
         slot->zone = zone;
         slot->cell = cell;
+        if (state != State::gone || slot->state != State::gone) slot->vouched = desk_.now;
         slot->state = state;
-        if (state != State::gone) slot->vouched = desk_.now;
-        slot->drained = (slot->drained && slot->launched >= launched) || state == State::draining;
+        const bool anew = state == State::ready && launched > slot->launched;
+        slot->drained = (slot->drained && !anew) || state == State::draining;
         if (size <= 0) size = 1;
         // A live weight is the size only while the server holds nothing.
         slot->size = desk_.set.live_weights && slot->launched >= launched ? std::max(slot->size, size) : size;
@@ -164,8 +166,8 @@
         for (auto& [zone, side] : sides_) {
             side.risk = side.late.total(desk_.now, risked) / (side.late.total(desk_.now, tried) + 2);
             const double n = side.lately.total(desk_.now, shots) + 2;
-            // Where late calls are called off, a queue ends at the SLO: chance has all its slack up to half of
-            // it, and none a little later, as servers that tip then do so for good.
+            // Where late calls are called off, a queue ends at the SLO: chance has all its slack up to half
+            // of it, and none a little later, as servers that tip then do so for good.
             const double most = cutting_ ? least_slo_.s * 0.6 : all, steep = cutting_ ? 6 : 1;
             const double taken = side.lately.total(desk_.now, spans) / n / most;
             const double calm = std::clamp(steep * (1 - taken), 0.0, 1.0);
@@ -212,8 +214,7 @@
     }
     // A client's further try whose time is cut short by the client timeout tells when the first one came.
     Time first_came(const Product& p, Time give_up) const {
-        const bool cut = give_up - desk_.now < p.patience * 0.98;
-        return cut ? std::min(desk_.now, give_up - p.client_timeout) : desk_.now;
+        return give_up - desk_.now < p.patience * 0.98 ? std::min(desk_.now, give_up - p.client_timeout) : desk_.now;
     }
     // Guards against calls that can only be late, where that costs more than a refusal, holding up others. As
     // many as cost nothing are let in while little of the room is taken: late, they still have some value.
@@ -384,13 +385,13 @@
     bool serves(const Server& s) const {
         if (!desk_.set.drain_binds_alone) return s.state == State::ready;
         if (s.drained || s.state == State::ready) return !s.drained;
-        return desk_.now >= s.absent_until && desk_.now < s.vouched + memory;
+        return desk_.now >= s.absent_until && desk_.now < s.vouched + most_memory;
     }
     // Guards against growth where new machines come under new ids all day.
     void forget() {
         std::erase_if(listed_, [this](auto* s) {
             if (s->state != State::gone || s->named || s->probing || s == replaced_) return false;
-            if (desk_.set.drain_binds_alone && desk_.now < s->vouched + memory) return false;
+            if (desk_.set.drain_binds_alone && desk_.now < s->vouched + most_memory) return false;
             lay_ghosts(*s, desk_.now);
             return known_.erase(s->id) == 1;
         });
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -13,6 +13,9 @@
 using CallId = uint64_t;     // below 2^52
 using ServerId = uint64_t;
 
+// How long a server that is gone is remembered after it was last listed as running, or last answered a call.
+constexpr Span most_memory{60};
+
 class Actions {
 public:
     virtual ~Actions() = default;
--- a/src/memory/servers.hpp
+++ b/src/memory/servers.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <memory>
@@ -21,6 +22,7 @@
     sockaddr_in at{};
     uint64_t listed_in = 0;          // the last list that named it
     Time heard = long_ago;           // its last whole answer
+    Time left = long_ago;            // when a list first called it gone
     std::list<Line*> idle;           // the latest used first
     int lines = 0;                   // connections to it, idle or not
     bool gone = false;               // by the list
@@ -47,11 +49,13 @@
         const auto it = by_id_.find(id);
         return it == by_id_.end() ? nullptr : it->second;
     }
-    // Those that are gone and that no connection leads to; new machines come under new uids all day.
-    void forget_gone() {
+    // Those that are gone, that no connection leads to and that have neither been listed nor answered since
+    // `kept`; new machines come under new uids all day.
+    void forget_gone(Time kept) {
         for (auto it = by_uid_.begin(); it != by_uid_.end();) {
             const auto here = it++;
-            if (!here->second->gone || here->second->lines) continue;
+            const auto& server = *here->second;
+            if (!server.gone || server.lines || std::max(server.heard, server.left) > kept) continue;
             by_id_.erase(here->second->id);
             by_uid_.erase(here);
         }
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -96,11 +96,11 @@
 struct Server {
     uint64_t id = 0;
     uint16_t zone = 0, cell = 0;
-    State state = State::ready;
+    State state = State::gone;
     double size = 0;               // capacity hint, comparable between servers
     Time launched = long_ago;      // last start that was listed
     bool drained = false;          // listed as draining since that start
-    Time vouched = long_ago;       // when it was last listed as running, or answered a call
+    Time vouched = long_ago;       // when it was last known to be listed as running, or answered a call
     Time absent_until = long_ago;  // gone by the list's word and by a failed connect
     double credit = 0;             // of a cold one: a call may go there when it reaches 1
     Time penalty_until = long_ago;
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -148,8 +148,8 @@
         server.at = *wire::read_endpoint(endpoint);
     }
     const auto is = state == "SERVING" ? State::ready : state == "DRAINING" ? State::draining : State::gone;
-    server.gone = is == State::gone;
-    if (server.gone) servers_.close_idle(server, Why::server_left);
+    if (is == State::gone) leaves(server);
+    else server.gone = false;
     const Time launched = boot_ms > 0 ? Time{boot_ms / 1000 - clocks_apart_} : long_ago;
     s_.balancer->lists(server.id, zone_number(zone), cell, is, size, launched);
     has_list_ = true;
@@ -160,15 +160,21 @@
     if (whole_)
         s_.servers.each([&](memory::Server& server) {
             if (server.listed_in == lists_) return;
-            server.gone = true;
-            servers_.close_idle(server, Why::server_left);
+            leaves(server);
         });
-    s_.servers.forget_gone();
+    // The decisions may go on using one that is called gone, for as long as they remember it.
+    s_.servers.forget_gone(s_.loop.now() - (s_.settings().drain_binds_alone ? most_memory : Span{}));
     if (!cached_) s_.counters.add(Count::lists_told);
     if (entries_) s_.log.info() << (whole_ ? "whole list, servers: " : "list changes, servers: ") << entries_;
     s_.balancer->list_ends();
 }
 
+// Where only draining binds, one that is called gone may serve on, and its connections with it.
+void Watcher::leaves(memory::Server& server) {
+    if (!std::exchange(server.gone, true)) server.left = s_.loop.now();
+    if (!s_.settings().drain_binds_alone) servers_.close_idle(server, Why::server_left);
+}
+
 uint16_t Watcher::zone_number(std::string_view name) {
     std::string plain(name);
     std::replace(plain.begin(), plain.end(), ' ', '_');   // as the settings have it
--- a/src/run/watcher.hpp
+++ b/src/run/watcher.hpp
@@ -31,6 +31,7 @@
     void failed(memory::Why why);
     void no_list();
     uint16_t zone_number(std::string_view name);
+    void leaves(memory::Server& server);   // called gone
 
     Shared& s_;
     Servers& servers_;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -121,6 +121,9 @@
     CHECK(play.answer_some(60, 0.02).count(1) == 0);
     play.list({}, true);
     CHECK(play.answer_some(60, 0.02).count(1) == 0);
+    play.list({{1, State::gone, play.now}});           // a later start that is not told as ready proves nothing
+    CHECK(play.answer_some(60, 0.02).count(1) == 0);
+    play.pass(1);
     play.list({{1, State::ready, play.now}, {2}}, true);
     CHECK(play.answer_some(60, 0.02).count(1) > 0);
 }
