--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -213,8 +213,8 @@
         return false;
     }
     // A client's further try whose time is cut short by the client timeout tells when the first one came.
-    Time first_came(const Product& p, Time give_up) const {
-        return give_up - desk_.now < p.patience * 0.98 ? std::min(desk_.now, give_up - p.client_timeout) : desk_.now;
+    Time first_came(const Product& p, Time end) const {
+        return end - desk_.now < p.patience * 0.98 ? std::min(desk_.now, end - p.client_timeout) : desk_.now;
     }
     // Guards against calls that can only be late, where that costs more than a refusal, holding up others. As
     // many as cost nothing are let in while little of the room is taken: late, they still have some value.
