Let late calls of some value run on while borne; a heavy call is overdue later

Change: overdue follows the told work; where late answers have a value, calls are given up only beyond the borne share of misses, and what was rate-limited in time counts as none.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -216,6 +216,11 @@
     Time first_came(const Product& p, Time end) const {
         return end - desk_.now < p.patience * 0.98 ? std::min(desk_.now, end - p.client_timeout) : desk_.now;
     }
+    // Whether one more of its product may be late at no cost; what was rate-limited in time is none.
+    bool borne(const Call& c) {
+        auto& recent = tail_[kind(c)];
+        return recent.total(desk_.now, missed) + 1 <= desk_.set.borne_misses * recent.total(desk_.now, asked);
+    }
     // Guards against calls that can only be late, where that costs more than a refusal, holding up others. As
     // many as cost nothing are let in while little of the room is taken: late, they still have some value.
     bool hopeless(const Call& c) {
@@ -225,10 +230,9 @@
         if (cuts(c) && (desk_.now > c.arrived + last_use(c) || drags(c))) return true;
         const Span expected = c.work * pace();
         if (expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo) return false;
-        const double borne = desk_.set.borne_misses * recent.total(desk_.now, asked);
         double room = 0;
         for (const auto& [zone, side] : sides_) room += side.rate * most_wait * least_slo_.s;
-        if (3 * in_flight_ > room || recent.total(desk_.now, missed) + 1 > borne) return true;
+        if (3 * in_flight_ > room || !borne(c)) return true;
         recent.add(desk_.now, missed);
         return false;
     }
@@ -254,7 +258,7 @@
         const bool fulfilled = shot.outcome == Outcome::fulfilled;
         if (!beaten && (given_up || fulfilled)) {
             const bool late = given_up || desk_.now > shot.call->arrived + p.slo;
-            if (late) tail_[kind(*shot.call)].add(desk_.now, missed);
+            if (late && !(given_up && shot.call->ended)) tail_[kind(*shot.call)].add(desk_.now, missed);
             all_.add(desk_.now, late);
             for (auto* kind : kinds(*shot.call)) kind->add(desk_.now, late);
         }
@@ -319,8 +323,9 @@
     // Guards against late answers where they cost more than a call rate-limited in time: what has no answer
     // just before its SLO is given up, told so at once and called off.
     bool cuts(const Call& c) const { return cutting_ && may_rate_limit(c); }
+    bool gives_up(const Call& c) { return cuts(c) && !(c.product->tardy_value > 0 && borne(c)); }
     Span last_use(const Call& c) const { return c.product->slo * 0.95; }
-    Span overdue(const Call& c) const { return {3 * c.product->quick}; }
+    Span overdue(const Call& c) const { return {3 * c.product->quick * std::max(1.0, c.weight)}; }
     void heard_nothing(const Shot& shot) {
         Server& s = *shot.server;
         if (s.last_heard >= shot.sent || last_heard_ <= shot.sent || s.quarantined) return;
@@ -475,13 +480,10 @@
         if (s.credit >= 1) s.credit -= 1;
         s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple * 0.75;
     }
-    // By Little's law a call that joins those held at a server is answered after about their number over the
-    // server's rate of answers. It is kept off where that leaves too little of its SLO, and rate-limited
-    // early where all are so full. Worthier work may use more of its SLO. This balancer's share of the
-    // servers, one call at least, is always let in, so that the rate can show itself. Just after its start a
-    // balancer has no rate to go by: then one call a member. Where each server has many balancers, a few
-    // calls above the mean are chance: so there is slack of up to three roots of the room, less the longer
-    // the shots of the last 2 s took (two instant ones, and none over the SLO, counted).
+    // By Little's law a call that joins those held at a server is answered after about their number over its
+    // rate of answers: it is kept off where that leaves too little of its SLO, rate-limited early where all
+    // are so full. This balancer's share, one call at least, is always let in, so that the rate can show
+    // itself; just after its start one call a member. Chance has a slack of up to three roots of the room.
     // Guards against a few calls that hang or are heavy shutting out all others: one that is out longer than
     // may be waited, and three times what answers lately took there, is no queue once a later one came.
     double queue(Server& s) const {
@@ -495,13 +497,11 @@
         const auto& side = side_of(s);
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
         if (queue(s) >= std::max({1.0, share() / members_.size(), own})) return false;
-        // Guards against cold servers left idle, and cold, while calls are turned away: in a release of the
-        // servers the warm ones hold the room of all, and a cold one's turns bound what it gets.
+        // Guards against cold servers left idle in a release: the warm hold all room; turns bound the cold.
         if (warm_share(s) < 1 || desk_.now < started_ + most_silence) return true;
         return side.held < std::max(side.floor, side.room);
     }
-    // Where the price of crossing keeps calls in their zone, it and the others are limited apart: else a zone
-    // with more traffic than servers would turn calls away next to idle ones.
+    // Where crossing is dear, zones are limited apart: else a full one turns calls away next to idle ones.
     bool far(const Server& s) const { return !at_home(s) && price_of_crossing() > 1; }
     Zone& side_of(const Server& s) { return sides_[far(s) ? s.zone : desk_.set.zone]; }
     bool at_home(const Server& s) const { return s.zone == desk_.set.zone; }
@@ -651,8 +651,8 @@
     void later(Call& c) {
         if (c.ended || c.shots.size() != 1 || !c.out() || !idempotent(c) || c.streaming) return;
         if (!fleet_.cuts(c) || !desk_.set.duplicates || desk_.set.max_shots < 2) return;
-        if (desk_.now - c.shots[0].sent + hair < fleet_.overdue(c)) return;
-        if (desk_.now + Span{c.product->quick} >= useful_until(c)) return;
+        const bool overdue = desk_.now - c.shots[0].sent + hair >= fleet_.overdue(c);
+        if (!overdue || desk_.now + Span{c.product->quick} >= useful_until(c)) return;
         const double n = recent_.total(desk_.now, copies);
         const double first = (recent_.total(desk_.now, ahead) + 2) / (n + 2);
         if (n >= 2 + recent_.total(desk_.now, calls) * (first - 0.5)) return;
@@ -717,7 +717,7 @@
         for (const auto& shot : c.shots)
             if (shot.out && desk_.now - shot.sent + hair >= fleet_.silence(c)) fleet_.heard_nothing(shot);
         const bool in_time = desk_.now - c.arrived + hair < fleet_.last_use(c);
-        return c.ended || !c.out() || in_time || !fleet_.cuts(c) ? Step::keep : Step::end;
+        return c.ended || !c.out() || in_time || !fleet_.gives_up(c) ? Step::keep : Step::end;
     }
 
 private:
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -174,6 +174,31 @@
     CHECK(play.count("rate_limit", 1) + play.count("error", 1) <= 1);
 }
 
+TEST_CASE("a late call of some value runs on while as many are late as are borne") {
+    struct Case { const char* value; const char* borne; bool runs_on; };
+    const auto c = GENERATE(Case{"0.5", "0.5", true}, Case{"0.5", "0.01", false}, Case{"0", "0.5", false});
+    Play play("ObjectiveMix.Tail=0.3\nObjectiveMix.BorneMisses=" + std::string(c.borne) +
+              "\nProducts.0.TardyBilledValue=" + c.value);
+    play.answer_some(10, 0.05);
+    play.call(1);
+    play.pass(1.2);
+    CHECK(play.count("rate_limit", 1) == !c.runs_on);
+}
+
+TEST_CASE("a call told to be heavy is overdue later") {
+    struct Case { double work; int shots; };
+    const auto c = GENERATE(Case{0.05, 2}, Case{0.4, 1});
+    Play play("Limits.MayDuplicate=true\n" + late_costs);
+    for (CallId id = 10; id < 40; ++id) {
+        play.call(id, 0, 4, 0, 0.05);
+        play.pass(0.05);
+        play.end(id, Outcome::fulfilled);
+    }
+    play.call(1, 0, 4, 0, c.work);
+    play.pass(0.3);
+    CHECK(play.count("send", 1) == c.shots);
+}
+
 TEST_CASE("a copy of an overdue call goes elsewhere where allowed, and the one beaten is called off") {
     struct Case { const char* more; uint32_t product; bool copied; };
     const auto c = GENERATE(Case{"Limits.MayDuplicate=true\n", 0, true}, Case{"Limits.MayDuplicate=false\n", 0, false},
