Never give up a stream that has begun; call its twin off; cancels in one place

Cause (read, not seen on any site: none streams): a call whose stream had begun was given up at its SLO like any other, and with two copies out the first one's stream was not taken for one (stream_began compared with the latest shot). Lines: Send::later, Decisions::stream_began. Change: both mended; the loop that cancels shots is one function, a shot that is out is found in one place, and a copy that came first is counted beside other further shots. A test that the old code fails.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -75,8 +75,7 @@
 
 class Fleet {
 public:
-    explicit Fleet(Desk& desk)
-        : desk_(desk), cutting_(desk.set.tail && desk.set.cancel), started_(desk.now) {
+    explicit Fleet(Desk& desk) : desk_(desk), cutting_(desk.set.tail && desk.set.cancel), started_(desk.now) {
         tail_.assign(desk.set.products.size(), Ring<2>(penalty));
         products_.assign(desk.set.products.size(), Kind(penalty));
         tenants_.assign(desk.set.allowances.size() + 1, Kind(penalty));
@@ -289,9 +288,8 @@
                 s.record.add(desk_.now, answered);
                 s.record.add(desk_.now, replied, took);
                 return;
-            case Outcome::errored: heard(s); return blame(s, stands_out(s));
-            case Outcome::reset:
-                return blame(s, stands_out(s));
+            case Outcome::errored: heard(s); [[fallthrough]];
+            case Outcome::reset: return blame(s, stands_out(s));
             case Outcome::full:
                 // Guards against servers that turn one product away and answer the others: penalised for all,
                 // they were over half of the pool, so that no penalty counted.
@@ -413,9 +411,9 @@
         return bad / (bad + s.record.total(desk_.now, answered)) > median_share_ + outstanding;
     }
 
-    // Members are taken along the sorted list from a place of this balancer's own. Where crossing costs more
-    // than a call in flight, two of three are of the own zone, as long as it has any. Guards against a zone
-    // that jams while the next is idle, out of reach of balancers whose small pools all lie in it.
+    // Members are taken along the sorted list from a place of this balancer's own. Where crossing is dear,
+    // two of three are of the own zone, the third of the others in turn, the least at risk first. Guards
+    // against a zone that jams while the next is idle, out of reach of pools that all lie in it.
     void arrange() {
         std::map<std::pair<double, uint16_t>, std::vector<Server*>> zones;   // abroad, by risk
         std::vector<Server*> parts[2];
@@ -659,12 +657,9 @@
         if (chain_.there(c, this) == Step::keep) recent_.add(desk_.now, copies);
     }
     Step back(Call& c, Shot& shot) override {
-        if (c.shots.size() == 2 && c.shots[0].out && shot.number == 1 && shot.outcome == Outcome::fulfilled &&
-            desk_.now <= c.arrived + c.product->slo)
-            recent_.add(desk_.now, ahead);
-        if (c.out()) return Step::keep;
         if (shot.number > 0 && shot.outcome == Outcome::fulfilled && desk_.now <= c.arrived + c.product->slo)
-            recent_.add(desk_.now, won);
+            recent_.add(desk_.now, c.out() ? ahead : won);
+        if (c.out()) return Step::keep;
         if (c.ended || shot.outcome == Outcome::fulfilled || !worthwhile(c)) return Step::pass;
         recent_.add(desk_.now, made);
         return chain_.there(c, this);
@@ -717,7 +712,7 @@
         for (const auto& shot : c.shots)
             if (shot.out && desk_.now - shot.sent + hair >= fleet_.silence(c)) fleet_.heard_nothing(shot);
         const bool in_time = desk_.now - c.arrived + hair < fleet_.last_use(c);
-        return c.ended || !c.out() || in_time || !fleet_.gives_up(c) ? Step::keep : Step::end;
+        return c.ended || c.streaming || !c.out() || in_time || !fleet_.gives_up(c) ? Step::keep : Step::end;
     }
 
 private:
@@ -771,12 +766,15 @@
         forget_if_over(*c);
     }
     void stream_began(Time now, CallId id, int shot) override {
-        if (auto* c = find(now, id)) c->streaming = shot + 1 == static_cast<int>(c->shots.size());
+        auto* c = find(now, id);
+        if (!c || !c->out(shot)) return;
+        c->streaming = true;
+        call_off(*c, shot);   // a stream belongs to the client: its twin is of no use
     }
     void shot_ended(Time now, CallId id, int number, Outcome outcome, bool call_done) override {
         auto* c = find(now, id);
-        if (!c || number < 0 || number >= std::ssize(c->shots) || !c->shots[number].out) return;
-        Shot& shot = c->shots[number];
+        if (!c || !c->out(number)) return;
+        Shot& shot = *c->out(number);
         shot.out = false;
         shot.outcome = outcome;
         if (call_done) c->ended = true;
@@ -821,11 +819,12 @@
     }
     void over(Call& c) {
         c.ended = true;
+        if (!c.streaming) call_off(c);
+    }
+    void call_off(Call& c, int but = -1) {
         for (auto& shot : c.shots)
-            if (shot.out && !shot.called_off && desk_.set.cancel && !c.streaming) {
-                shot.called_off = true;
+            if (desk_.set.cancel && shot.out && shot.number != but && !std::exchange(shot.called_off, true))
                 desk_.out.cancel(c.id, shot.number);
-            }
     }
     void forget_if_over(Call& c) {
         if (!c.ended || c.out()) return;
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -60,6 +60,10 @@
     bool out() const {
         return std::any_of(shots.begin(), shots.end(), [](const Shot& s) { return s.out; });
     }
+    Shot* out(int number) {        // that shot while it is out, or none
+        const bool found = number >= 0 && number < static_cast<int>(shots.size()) && shots[number].out;
+        return found ? &shots[number] : nullptr;
+    }
     bool served() const {
         const auto answered = [](const Shot& s) { return !s.out && s.outcome == Outcome::fulfilled; };
         return std::any_of(shots.begin(), shots.end(), answered);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -239,6 +239,23 @@
     CHECK(play.count("rate_limit", 1) == 1);
 }
 
+TEST_CASE("a stream that has begun is not given up at its SLO, and its twin is called off") {
+    const int streams = GENERATE(0, 1);
+    Play play("Limits.MayDuplicate=true\n" + late_costs);
+    play.answer_some(40, 0.05);
+    play.call(1);
+    play.pass(0.2);
+    REQUIRE(play.count("send", 1) == 2);
+    play.balancer->stream_began(play.now, 1, streams);
+    CHECK(play.count("cancel", 1) == 1);
+    CHECK(play.done.back().shot == 1 - streams);
+    play.end(1, Outcome::cancelled, 1 - streams);
+    play.pass(3);
+    CHECK(play.count("rate_limit", 1) + play.count("error", 1) == 0);
+    play.end(1, Outcome::fulfilled, streams);
+    CHECK(play.count("cancel", 1) == 1);
+}
+
 TEST_CASE("copies dry up where they never come first") {
     Play play("Limits.MayDuplicate=true\n" + late_costs);
     play.answer_some(100, 0.05);
