Give a repeat up when the SLO of its first try ends, not a whole SLO later

Cause (read): the wake for giving a call up was set a whole SLO after its arrival, though a client's further try counts its SLO from the first one (Send::there). Change: what is left of it. A test that the old code fails.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -698,7 +698,8 @@
         c.shots.push_back(shot);
         desk_.out.send(c.id, server->id, c.give_up - desk_.now);
         desk_.out.wake(fleet_.silence(c), c.id);
-        if (shot.number == 0 && desk_.set.tail) desk_.out.wake(fleet_.last_use(c), c.id);
+        const Span left = c.arrived + fleet_.last_use(c) - desk_.now;   // a repeat has less
+        if (shot.number == 0 && desk_.set.tail && left > Span{}) desk_.out.wake(left, c.id);
         if (desk_.set.duplicates && shot.number == 0) desk_.out.wake(fleet_.overdue(c), c.id);
         ++server->named;
         fleet_.sent(c.shots.back());
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -324,6 +324,16 @@
     CHECK(play.count("rate_limit", 1) == !c.sent);
 }
 
+TEST_CASE("a client's further try is given up when the SLO of its first one ends") {
+    Play play(late_costs);
+    play.answer_some(10, 0.02);
+    REQUIRE(play.call(1, 0, 3.5, 0, 0, 0, true) != 0);   // 0.5 s of its SLO of 1 s are gone
+    play.pass(0.44);
+    CHECK(play.count("rate_limit", 1) == 0);
+    play.pass(0.05);
+    CHECK(play.count("rate_limit", 1) == 1);
+}
+
 TEST_CASE("a zone whose shots take long loses calls to others, and to the least busy of them") {
     std::map<int, int> zones;
     for (int me = 0; me < 12; ++me) {
