Take a server out of the pool before it is forgotten when only time has ended its use

Cause: where only draining binds, a server that lists call gone serves until a minute after it was last vouched for, so it ends its use between two lists. Ruled out: a shot that names it (named is 0) and a list in progress. Also a server once replaced for its offences was never forgotten, as replaced_ was kept after the trial; house terms bound that.

Change: forget takes such a server out of members_ and order_ and fills the pool up; replaced_ counts only while its replacement is on trial.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -392,12 +392,16 @@
     }
     // Guards against growth where new machines come under new ids all day.
     void forget() {
-        std::erase_if(listed_, [this](auto* s) {
-            if (s->state != State::gone || s->named || s->probing || s == replaced_) return false;
-            if (desk_.set.drain_binds_alone && desk_.now < s->vouched + most_memory) return false;
+        const auto forgotten = std::erase_if(listed_, [this](auto* s) {
+            const bool used = s->named || s->probing || (replacement_ && s == replaced_);
+            const bool kept = desk_.set.drain_binds_alone && desk_.now < s->vouched + most_memory;
+            if (s->state != State::gone || used || kept) return false;
             lay_ghosts(*s, desk_.now);
+            if (s->member) leave(*s);   // time alone has put it out of use, no list
+            std::erase(order_, s);
             return known_.erase(s->id) == 1;
         });
+        if (forgotten > 0) refill();
     }
     void heard(Server& s) { s.last_heard = last_heard_ = desk_.now; }
     void blame(Server& s, bool penalise = true) {
@@ -488,8 +492,7 @@
         const double n = std::max(1.0, s.record.total(desk_.now, answered));
         const Span mean{s.record.total(desk_.now, replied) / n};
         const Time by = std::min(s.answered_sent, desk_.now - std::max(least_slo_ * most_wait, mean * 3));
-        const auto stuck = [by](auto* shot) { return shot->sent <= by; };
-        return s.held() - std::count_if(s.open.begin(), s.open.end(), stuck);
+        return s.held() - std::ranges::count_if(s.open, [by](auto* shot) { return shot->sent <= by; });
     }
     bool has_room(Server& s) {
         const auto& side = side_of(s);
@@ -789,12 +792,9 @@
     void woke(Time now, uint64_t cookie) override {
         desk_.now = now;
         if (cookie == list_cookie) return desk_.out.watch_list();
-        if (cookie != tick_cookie) {
-            auto* c = find(now, cookie);
-            if (!c) return;
-            if (send_.later(*c) == Step::end) return answer(*c);
-            return further_.later(*c);
-        }
+        if (auto* c = find(now, cookie))
+            return send_.later(*c) == Step::end ? answer(*c) : further_.later(*c);
+        if (cookie != tick_cookie) return;
         fleet_.look();
         if (now >= next_resize_) {
             next_resize_ = now + interval;
