Count calls that hang at silent servers as held only as far as the others are slow

Lines at fault: the loop over members_ in Fleet::choose, which took servers out of use from the strength but not from what is held.

Change: what hangs at servers quarantined, penalised, or silent for longer than may be waited counts by crowd, 0 while the mean of the answers is under half of what may be waited, 1 at twice that. Covers crashes, hangs and cut-off zones; does harm where tipping servers hold what hangs, so it counts whole where answers are slow.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,6 @@
-// All decisions of myrtleroute: where each API call's shots go while things fail. Adapter and proxy call the
-// events of Balancer and carry out what comes back through Actions (logic.hpp); docs/design.md has the
-// mechanism. Below: Desk (what all share), Fleet (list, pool, choice, health), the stages of the chain from
-// the API call's side to the servers' side, and the Balancer, which feeds events to them.
+// All decisions of myrtleroute: where each API call's shots go while things fail; logic.hpp has the events,
+// docs/design.md the mechanism. Below: Desk (what all share), Fleet (list, pool, choice, health), the stages
+// of the chain from the API call's side to the servers' side, and the Balancer, which feeds them.
 #include "logic.hpp"
 
 #include <algorithm>
@@ -153,8 +152,7 @@
 
     // The choice: the member with the fewest own calls in flight, per size; ties break randomly. Penalised
     // members are for when no other is left; when no member may take it, any listed server beats no answer.
-    // Guards against driving all calls to the last few when failures are wide (connections that break, spoilt
-    // answers): with over half the pool penalised, penalties tell nothing and do not count.
+    // Guards against driving all calls to the last few: with over half the pool penalised, none counts.
     Server* choose(const Call& c) {
         const auto blamed = [this](auto* s) { return desk_.now < s->penalty_until; };
         wide_ = 2 * std::count_if(members_.begin(), members_.end(), blamed) > std::ssize(members_);
@@ -165,20 +163,24 @@
         for (auto& [zone, side] : sides_) {
             side.risk = side.late.total(desk_.now, risked) / (side.late.total(desk_.now, tried) + 2);
             const double n = side.lately.total(desk_.now, shots) + 2;
-            // Where late calls are called off, a queue ends at the SLO: chance has all its slack up to half
-            // of it, and none a little later, as servers that tip then do so for good.
+            // Where late calls are called off, chance has all its slack up to half of the SLO, soon none.
             const double most = cutting_ ? least_slo_.s * 0.6 : all, steep = cutting_ ? 6 : 1;
             const double taken = side.lately.total(desk_.now, spans) / n / most;
             const double calm = std::clamp(steep * (1 - taken), 0.0, 1.0);
             side.room = side.rate * wait;
+            const double answered = side.lately.total(desk_.now, answers) + 2;
+            side.crowd = std::clamp(2 * side.lately.total(desk_.now, waits) / answered / most - 1, 0.0, 1.0);
             if (wait > 0) side.room += 3 * calm * std::sqrt((side.room + cutting_) / std::max(1.0, share()));
             side.floor = side.held = side.strength = 0;
         }
         for (auto* s : members_) {
             auto& side = side_of(*s);
             side.floor += std::max(1.0, share()) / members_.size();
-            side.held += queue(*s);
-            if (!s->quarantined && !penalised(*s, c)) side.strength += strength(*s);
+            // Guards against calls to a zone cut off standing for a queue at servers within reach: what hangs
+            // at servers that are silent or out of use counts the less, the quicker others answer.
+            const bool off = s->quarantined || penalised(*s, c);
+            if (!off) side.strength += strength(*s);
+            side.held += queue(*s) * (off || silent(*s) ? side.crowd : 1);
         }
         bool no_room = false;
         for (const auto* among : {&members_, &order_})
@@ -279,6 +281,7 @@
                 s.answered_sent = std::max(s.answered_sent, shot.sent);
                 lay_ghosts(s, shot.sent);
                 side.lately.add(desk_.now, answers);
+                side.lately.add(desk_.now, waits, took);
                 if (shot.call->work > Span{}) {
                     paced_.add(desk_.now, waited, took);
                     paced_.add(desk_.now, foretold, shot.call->work.s);
@@ -291,8 +294,7 @@
             case Outcome::errored: heard(s); [[fallthrough]];
             case Outcome::reset: return blame(s, stands_out(s));
             case Outcome::full:
-                // Guards against servers that turn one product away and answer the others: penalised for all,
-                // they were over half of the pool, so that no penalty counted.
+                // Guards against servers that turn only one product away counting as over half of the pool.
                 s.full_until[kind(*shot.call)] = desk_.now + penalty;
                 heard(s);
                 return blame(s, s.record.total(desk_.now, answered) == 0);
@@ -318,8 +320,7 @@
     Span silence(const Call& c) const {
         return std::min(most_silence, std::max((c.give_up - c.arrived) * 0.5, c.product->slo));
     }
-    // Guards against late answers where they cost more than a call rate-limited in time: what has no answer
-    // just before its SLO is given up, told so at once and called off.
+    // Guards against late answers that cost more than a refusal: given up and told so just before the SLO.
     bool cuts(const Call& c) const { return cutting_ && may_rate_limit(c); }
     bool gives_up(const Call& c) { return cuts(c) && !(c.product->tardy_value > 0 && borne(c)); }
     Span last_use(const Call& c) const { return c.product->slo * 0.95; }
@@ -382,9 +383,8 @@
     }
 
 private:
-    // Where only draining binds, the list's word that a server is gone is one sign among others: with a
-    // failed connect it is believed for an interval, alone it is not. Guards against lists that shrink, are
-    // empty or old, or come from a process check that fails; a drain told once holds, whatever comes later.
+    // Where only draining binds, a list that calls a server gone is believed for an interval after a failed
+    // connect, alone it is not. Guards against lists that shrink, are empty or old; a drain told once holds.
     bool serves(const Server& s) const {
         if (!desk_.set.drain_binds_alone) return s.state == State::ready;
         if (s.drained || s.state == State::ready) return !s.drained;
@@ -416,8 +416,8 @@
     }
 
     // Members are taken along the sorted list from a place of this balancer's own. Where crossing is dear,
-    // two of three are of the own zone, the third of the others in turn, the least at risk first. Guards
-    // against a zone that jams while the next is idle, out of reach of pools that all lie in it.
+    // every third is of the other zones in turn, the least at risk first. Guards against a zone that jams
+    // while the next is idle.
     void arrange() {
         std::map<std::pair<double, uint16_t>, std::vector<Server*>> zones;   // abroad, by risk
         std::vector<Server*> parts[2];
@@ -472,10 +472,9 @@
         return s.size * std::max<size_t>(1, members_.size()) / std::max(size_sum_, s.size);
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
-    // No cold server pushed over by hundreds of balancers: with each call placed it earns its warm share of a
-    // turn, times three quarters of what the rule allows, so all together keep the rule and one alone need
-    // not know the others. A turn not taken lapses: turns saved up would be taken all at once in a burst.
-    // Calls that are turned away earn nothing: they may be many times what the servers can do.
+    // No cold server pushed over by hundreds of balancers, none of which knows the others: with each call
+    // placed (not turned away) it earns its warm share of a turn, times three quarters of what the rule
+    // allows. A turn not taken lapses: turns saved up would be taken all at once in a burst.
     void earn(Server& s) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
@@ -483,17 +482,20 @@
         s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple * 0.75;
     }
     // By Little's law a call that joins those held at a server is answered after about their number over its
-    // rate of answers: it is kept off where that leaves too little of its SLO, rate-limited early where all
-    // are so full. This balancer's share, one call at least, is always let in, so that the rate can show
-    // itself; just after its start one call a member. Chance has a slack of up to three roots of the room.
-    // Guards against a few calls that hang or are heavy shutting out all others: one that is out longer than
-    // may be waited, and three times what answers lately took there, is no queue once a later one came.
+    // rate of answers: it is kept off where that leaves too little of its SLO, rate-limited where all are so
+    // full. This balancer's share, one at least, is let in, so that the rate can show itself. Guards against
+    // a few calls that hang or are heavy shutting out all others: one that is out longer than may be waited,
+    // and three times what answers lately took there, is no queue once a later one came.
     double queue(Server& s) const {
         const double n = std::max(1.0, s.record.total(desk_.now, answered));
         const Span mean{s.record.total(desk_.now, replied) / n};
         const Time by = std::min(s.answered_sent, desk_.now - std::max(least_slo_ * most_wait, mean * 3));
         return s.held() - std::ranges::count_if(s.open, [by](auto* shot) { return shot->sent <= by; });
     }
+    bool silent(const Server& s) const {
+        return !s.open.empty() && s.last_heard < s.open[0]->sent &&
+               desk_.now - s.open[0]->sent > least_slo_ * most_wait;
+    }
     bool has_room(Server& s) {
         const auto& side = side_of(s);
         const double own = side.room * strength(s) / std::max(side.strength, strength(s));
@@ -549,8 +551,7 @@
         return best;
     }
     // Guards against slowness that few own calls in flight don't show: what a server's shots lately took over
-    // the mean and a quarter counts as calls of others there. Two more shots of the mean are added to them,
-    // so that one slow answer tells little; members near the mean still tie.
+    // the mean and a quarter counts as calls of others there. Two shots of the mean are added to them.
     double hidden(Server& s, const Call& c) const {
         const double usual = s.record.total(desk_.now, expected), took = s.record.total(desk_.now, spent);
         return usual > 0 ? std::max(0.0, (took - usual) / (usual + 2 * c.product->took) - 0.25) : 0;
@@ -646,9 +647,8 @@
         recent_.add(desk_.now, calls);
         return Step::pass;
     }
-    // Guards against servers that stand still for a moment, or hold one call up: once a call is out for
-    // longer than answers usually take, a copy goes elsewhere, where allowed and still of use. Copies dry up
-    // where they seldom come first, as in a queue, with heavy calls or where all is slow.
+    // Guards against servers that stand still for a moment, or hold one call up: a copy of an overdue call
+    // goes elsewhere, where allowed and of use. Copies dry up where they seldom come first, as in a queue.
     void later(Call& c) {
         if (c.ended || c.shots.size() != 1 || !c.out() || !idempotent(c) || c.streaming) return;
         if (!fleet_.cuts(c) || !desk_.set.duplicates || desk_.set.max_shots < 2) return;
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -84,7 +84,7 @@
 };
 
 // What is known of a zone whose servers are limited apart, or of all of them.
-enum Pace { answers, shots, spans, paces };
+enum Pace { answers, waits, shots, spans, paces };   // `waits`: seconds of the answers
 enum Lateness { tried, risked };
 struct Zone {
     Ring<paces> lately{Span{2}};
@@ -93,6 +93,7 @@
     double rate = 0;           // answers a second, at best lately
     double room = 0;           // calls that it may hold, for the call being placed
     double floor = 0, held = 0, strength = 0;
+    double crowd = 1;          // how far what hangs at servers out of use or silent counts as held
 };
 
 enum Tally { answered, replied, failed, spent, expected, tallies };   // `replied`: seconds of the answered
