Let calls that are lent the room of those that hang earn cold servers no turns

Cause: a cold server earns its turns from the calls placed (Fleet::earn), which the common room held to what the servers can do. Since calls that hang at silent servers stopped counting whole, more calls are placed than that, and each earned. Ruled out: a start not known to the proxies (two thirds of the work came from proxies that knew), turns saved up (a turn not taken lapses), the list (no wrong list in those seconds). Change: a call that goes to a warm server though all that is held, counted whole, leaves no room, lets turns lapse and earns none. So a cold server is earned at most what it was before that change: it can't come back that way. Covers every call let in beyond Little's room. Harm: fewer turns for cold servers while others hang.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -119,8 +119,7 @@
         arrange();
         refill();
     }
-    // Asks again with growing, random waits, so that many balancers do not press on a list service in
-    // trouble, and always within AskWithin, so that no drain goes unheard.
+    // Asks again with growing, random waits that spare the list service, but within AskWithin, for drains.
     void list_failed() {
         const Span wait = desk_.set.ask_within * (std::min(16, 1 << asked_again_) / 40.0);
         asked_again_ = std::min(4, asked_again_ + 1);
@@ -171,7 +170,7 @@
             const double answered = side.lately.total(desk_.now, answers) + 2;
             side.crowd = std::clamp(2 * side.lately.total(desk_.now, waits) / answered / most - 1, 0.0, 1.0);
             if (wait > 0) side.room += 3 * calm * std::sqrt((side.room + cutting_) / std::max(1.0, share()));
-            side.floor = side.held = side.strength = 0;
+            side.floor = side.held = side.all = side.strength = 0;
         }
         for (auto* s : members_) {
             auto& side = side_of(*s);
@@ -180,6 +179,7 @@
             // at servers that are silent or out of use counts the less, the quicker others answer.
             const bool off = s->quarantined || penalised(*s, c);
             if (!off) side.strength += strength(*s);
+            side.all += queue(*s);
             side.held += queue(*s) * (off || silent(*s) ? side.crowd : 1);
         }
         bool no_room = false;
@@ -239,7 +239,9 @@
     }
 
     void sent(Shot& shot) {
-        for (auto* s : members_) earn(*s);
+        const auto& side = side_of(*shot.server);
+        const bool lent = side.all >= std::max(side.floor, side.room) && warm_share(*shot.server) >= 1;
+        for (auto* s : members_) earn(*s, lent);
         shot.server->open.push_back(&shot);
         note_in_flight(+1);
     }
@@ -473,13 +475,13 @@
     }
     double strength(const Server& s) const { return s.size * warm_share(s); }
     // No cold server pushed over by hundreds of balancers, none of which knows the others: with each call
-    // placed (not turned away) it earns its warm share of a turn, times three quarters of what the rule
-    // allows. A turn not taken lapses: turns saved up would be taken all at once in a burst.
-    void earn(Server& s) const {
+    // placed it earns its warm share of a turn, times three quarters of what the rule allows. Calls turned
+    // away, or lent the room of those that hang, earn none. A turn not taken lapses, else bursts take many.
+    void earn(Server& s, bool lent) const {
         const double warm = warm_share(s);
         if (warm >= 1) return;
         if (s.credit >= 1) s.credit -= 1;
-        s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple * 0.75;
+        if (!lent) s.credit += warm * s.size / std::max(size_sum_, s.size) * desk_.set.tip_multiple * 0.75;
     }
     // By Little's law a call that joins those held at a server is answered after about their number over its
     // rate of answers: it is kept off where that leaves too little of its SLO, rate-limited where all are so
@@ -504,8 +506,7 @@
         if (warm_share(s) < 1 || desk_.now < started_ + most_silence) return true;
         return side.held < std::max(side.floor, side.room);
     }
-    // Where crossing is dear, zones are limited apart: else a full one turns calls away next to idle ones.
-    bool far(const Server& s) const { return !at_home(s) && price_of_crossing() > 1; }
+    bool far(const Server& s) const { return !at_home(s) && price_of_crossing() > 1; }   // limited apart
     Zone& side_of(const Server& s) { return sides_[far(s) ? s.zone : desk_.set.zone]; }
     bool at_home(const Server& s) const { return s.zone == desk_.set.zone; }
     double price_of_crossing() const { return desk_.set.cross_price * penalty_weight / 2; }   // in calls
@@ -810,8 +811,7 @@
         const auto it = calls_.find(id);
         return it == calls_.end() ? nullptr : &it->second;
     }
-    // The one final answer, as soon as the call is given up. Where a retry could no longer be of use, the
-    // client is told to stay away as long as it may be told.
+    // The one final answer, as soon as the call is given up; a client is told to stay away as long as may be.
     void answer(Call& c) {
         const Span stay_away = desk_.set.retry_after ? desk_.set.max_retry_after : Span{};
         if (may_rate_limit(c)) desk_.out.rate_limit(c.id, stay_away);
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -92,7 +92,7 @@
     double risk = 0;           // share of worth that lateness takes there
     double rate = 0;           // answers a second, at best lately
     double room = 0;           // calls that it may hold, for the call being placed
-    double floor = 0, held = 0, strength = 0;
+    double floor = 0, held = 0, all = 0, strength = 0;   // `all`: what hangs at silent servers counted whole
     double crowd = 1;          // how far what hangs at servers out of use or silent counts as held
 };
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -528,6 +528,23 @@
     CHECK((turned_away > 6) == c.turned_away);
 }
 
+TEST_CASE("calls that are lent the room of those that hang earn a cold server no turns") {
+    const bool cut_off = GENERATE(true, false);                    // half of the servers
+    Play play("Balancers=300\nProducts.2.LatencySloS=0.3\nGuarantees.WarmAfterS=1000", 30);
+    play.answer_some(40, 0.1);
+    play.list({{2, State::ready, play.now}});
+    int to_cold = 0;
+    for (CallId id = 1; id <= 200; ++id) {
+        const auto server = play.call(id, 2);
+        to_cold += server == 2;
+        play.pass(0.03);
+        if (!cut_off || server % 2 == 0) play.end(id, Outcome::fulfilled);
+        play.pass(0.97);
+    }
+    CAPTURE(to_cold);
+    CHECK((to_cold > 8) == !cut_off);
+}
+
 TEST_CASE("penalties over half the pool and more leave nobody out, and drive no crowd to the last ones") {
     struct Case { int blamed; bool left_out; };
     const auto c = GENERATE(Case{3, true}, Case{4, false}, Case{5, false});
