--- a/src/lab/application.cpp
+++ b/src/lab/application.cpp
@@ -221,14 +221,16 @@
     leave(socket, when + Span{chance_.between(-0.0004, 0.0004)});
 }
 
-// Refused, closed or answered by then, or it was never accepted.
+// Refused, closed or answered by then, or it was never accepted. Where the proxy had no descriptor left to accept
+// it with, its time counts from when it could.
 void Application::check_owed(uint64_t socket, Time due) {
     site_.queue.at(due, [this, socket, due] {
         const auto it = conns_.find(socket);
         if (it == conns_.end()) return;
         const auto& s = *it->second->socket;
         if (s.state == Socket::State::up && s.other && s.other->ear && !it->second->strange_answered) {
-            const Time later = site_.oracle.due(proxy_, due - owed, owed);
+            const Time since = site_.oracle.was_short(proxy_) ? std::max(due - owed, s.other->accepted) : due - owed;
+            const Time later = site_.oracle.due(proxy_, since, owed);
             if (later > site_.queue.now()) return check_owed(socket, later);
             site_.oracle.breaks(Rule::owed, {}, "proxy " + std::to_string(proxy_) + ", socket " + std::to_string(socket));
         }
--- a/src/lab/net.cpp
+++ b/src/lab/net.cpp
@@ -80,6 +80,7 @@
     if (listener.waiting.empty()) return {};
     auto s = listener.waiting.front();
     listener.waiting.pop_front();
+    s->accepted = queue_.now();
     return s;
 }
 
--- a/src/lab/net.hpp
+++ b/src/lab/net.hpp
@@ -43,6 +43,7 @@
     Machine* here = nullptr;
     Ear* ear = nullptr;
     uint64_t local = 0, remote = 0;    // address and port; a connecting side's own is 0
+    Time accepted{};                   // when a listener's program took it
     Handle other;
     // What has come.
     std::string in;
--- a/src/lab/oracle.hpp
+++ b/src/lab/oracle.hpp
@@ -118,6 +118,7 @@
     void ended(int proxy);
     void paused(int proxy, Time from, Time to) { proxies_[proxy].pauses.emplace_back(from, to); }
     void short_of_descriptors(int proxy) { proxies_[proxy].was_short = true; }
+    bool was_short(int proxy) const { return proxies_[proxy].was_short; }
     Time due(int proxy, Time since, Span within) const;   // later for the pauses in that time
     int calls_open(int proxy) const { return proxies_[proxy].open; }
     int lines_busy(int proxy) const { return proxies_[proxy].busy; }   // with a shot or probe that was begun
