--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -171,7 +171,7 @@
     CHECK(play.count("cancel", 1) == c.cut);
     play.end(1, Outcome::cancelled);
     play.pass(4);
-    CHECK(play.count("send", 1) == (c.cut ? 1 : play.count("send", 1)));
+    if (c.cut) CHECK(play.count("send", 1) == 1);
     CHECK(play.count("rate_limit", 1) + play.count("error", 1) <= 1);
 }
 
@@ -781,7 +781,7 @@
         play.answer_some(50, 0.03);
         for (CallId id = 1; id < 60; ++id) {
             play.call(id, id % 3);
-            play.pass(0.17);
+            play.pass(0.07);
             if (id > 5) play.end(id - 5, id % 7 ? Outcome::fulfilled : Outcome::full);
         }
         for (const auto& d : play.done)
