The fleet rig's first landing: 100 real proxies, stand-ins, links with faults, judge, spread

Seen: nothing stood between two processes but the kernel, and no test started more than a few proxies. Change: src/rig, a tool of its own (myrtleroute_fleet, -DMYRTLEROUTE_FLEET=ON), starts proxies by the hundred, servers, discovery, relays and load as processes, plays faults from a file, ends all by id, judges the ledgers and prints the spread. The reader of hand-written TOML moves out of the lab's scenario into lab/toml_table.hpp, for both. The program itself is unchanged.

--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -1,13 +1,11 @@
 #include "lab/scenario.hpp"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <cmath>
-#include <initializer_list>
 #include <sstream>
 
 #include "lab/chance.hpp"
+#include "lab/toml_table.hpp"
 
 namespace myrtleroute::lab {
 
@@ -23,42 +21,6 @@
 constexpr int most_proxies = 64, most_servers = 256;
 constexpr double most_seconds = 3600, most_rate = 10000;
 
-[[noreturn]] void bad(const std::string& path, const toml::source_region& at, const std::string& what) {
-    std::ostringstream text;
-    text << path << ':' << at.begin.line << ':' << at.begin.column << ": " << what;
-    throw BadScenario(text.str());
-}
-
-class Table {
-public:
-    Table(const std::string& path, const toml::table& table, std::initializer_list<std::string_view> known)
-        : path_(path), table_(table) {
-        for (const auto& [key, value] : table)
-            if (std::find(known.begin(), known.end(), key.str()) == known.end())
-                bad(path, key.source(), std::string(key.str()) + " is no key of this table");
-    }
-    double number(std::string_view key, double otherwise, double least, double most) const {
-        const auto* node = table_.get(key);
-        if (!node) return otherwise;
-        const auto value = node->value<double>();
-        if (!node->is_number() || !(*value >= least && *value <= most)) {
-            std::ostringstream text;
-            text << key << " must be a number between " << least << " and " << most;
-            bad(path_, node->source(), text.str());
-        }
-        return *value;
-    }
-    int whole(std::string_view key, int otherwise, int least, int most) const {
-        const double value = number(key, otherwise, least, most);
-        if (value != std::floor(value)) bad(path_, table_.get(key)->source(), std::string(key) + " must be whole");
-        return static_cast<int>(value);
-    }
-
-private:
-    const std::string& path_;
-    const toml::table& table_;
-};
-
 Fault read_fault(const std::string& path, const toml::table& t, const Scenario& s) {
     const Table table(path, t, {"kind", "at_s", "lasts_s", "who", "how"});
     const auto* kind = t.get("kind");
@@ -130,12 +92,7 @@
 }
 
 Scenario read_scenario(const std::string& path) {
-    toml::table t;
-    try {
-        t = toml::parse_file(path);
-    } catch (const toml::parse_error& fault) {
-        bad(path, fault.source(), std::string(fault.description()));
-    }
+    const toml::table t = parse_toml(path);
     const Table table(path, t, {"seed", "lasts_s", "proxies", "servers", "calls_per_s", "rough", "drain_alone", "left_out", "fault"});
     Scenario s;
     const auto* seed = t.get("seed");
--- /dev/null
+++ b/src/rig/figures.cpp
@@ -0,0 +1,274 @@
+#include "rig/figures.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <set>
+
+#include "lab/chance.hpp"
+#include "rig/arrivals.hpp"
+
+namespace myrtleroute::rig {
+
+namespace {
+
+constexpr int draws = 20;
+constexpr double herd_within = 0.1;
+
+struct Chosen { double at; int server, proxy; };
+
+double size_of(const Experiment& e, int server) { return e.sizes[static_cast<size_t>(server) % e.sizes.size()]; }
+
+// Random draws over servers, each as likely as it is large.
+class Draw {
+public:
+    Draw(const Experiment& e, const std::vector<int>& servers) : servers_(servers) {
+        for (const int s : servers) sums_.push_back((sums_.empty() ? 0 : sums_.back()) + size_of(e, s));
+    }
+    size_t place(lab::Chance& chance) const {
+        const double at = chance.share() * sums_.back();
+        return static_cast<size_t>(std::upper_bound(sums_.begin(), sums_.end(), at) - sums_.begin());
+    }
+
+private:
+    std::vector<int> servers_;
+    std::vector<double> sums_;
+};
+
+Even mean(const std::vector<Even>& all) {
+    Even m;
+    for (const auto& x : all) {
+        m.most += x.most;
+        m.least += x.least;
+        m.cv += x.cv;
+        m.idle += x.idle;
+    }
+    if (const auto n = static_cast<double>(all.size()); n > 0) m = {m.most / n, m.least / n, m.cv / n, m.idle / n};
+    return m;
+}
+
+// Servers listed as serving from one time to another.
+std::vector<int> in_reach(const Day& d, double from, double to) {
+    std::vector<int> all;
+    for (int s = 0; s < d.e.servers; ++s) {
+        bool serving = true;
+        for (const auto& l : d.list) {
+            if (l.server != s || l.at > to) continue;
+            if (l.at <= from) serving = l.state == Listed::serving;
+            else serving &= l.state == Listed::serving;
+        }
+        if (serving) all.push_back(s);
+    }
+    return all;
+}
+
+Even ours(const Day& d, const std::vector<Chosen>& chosen, const std::vector<int>& servers, double from, double to, uint64_t& n) {
+    std::vector<double> calls(static_cast<size_t>(d.e.servers));
+    for (const auto& c : chosen)
+        if (c.at >= from && c.at < to) ++calls[static_cast<size_t>(c.server)];
+    std::vector<double> reached;
+    n = 0;
+    for (const int s : servers) {
+        n += static_cast<uint64_t>(calls[static_cast<size_t>(s)]);
+        reached.push_back(calls[static_cast<size_t>(s)] / size_of(d.e, s));
+    }
+    return even(reached);
+}
+
+Even drawn(const Experiment& e, const std::vector<int>& servers, uint64_t n, lab::Chance& chance) {
+    if (servers.empty()) return {};
+    const Draw draw(e, servers);
+    std::vector<Even> all;
+    for (int i = 0; i < draws; ++i) {
+        std::vector<double> calls(servers.size());
+        for (uint64_t k = 0; k < n; ++k) ++calls[draw.place(chance)];
+        for (size_t s = 0; s < servers.size(); ++s) calls[s] /= size_of(e, servers[s]);
+        all.push_back(even(calls));
+    }
+    return mean(all);
+}
+
+// The most proxies that chose one server in one tenth of a second.
+double herd(const std::vector<Chosen>& in_order) {
+    size_t most = 0;
+    for (size_t i = 0; i < in_order.size();) {
+        std::map<int, std::set<int>> who;
+        const double until = in_order[i].at + herd_within;
+        for (; i < in_order.size() && in_order[i].at < until; ++i) who[in_order[i].server].insert(in_order[i].proxy);
+        for (const auto& [server, proxies] : who) most = std::max(most, proxies.size());
+    }
+    return static_cast<double>(most);
+}
+
+void count_calls(const Day& d, Figures& f) {
+    const auto seconds = static_cast<size_t>(std::ceil(d.e.lasts.s));
+    std::vector<double> asked(seconds), got(seconds);
+    f.calls_by_second.resize(seconds);
+    f.latency.resize(d.e.products.size());
+    double value = 0, served = 0;
+    for (const auto& c : d.calls) {
+        const auto& p = d.e.products[c.product];
+        const auto second = std::min(seconds - 1, static_cast<size_t>(std::max(0.0, c.due - d.start)));
+        ++f.calls;
+        ++f.calls_by_second[second];
+        value += p.value;
+        asked[second] += p.value;
+        const bool good = c.end == CallEnd::answered && c.status == 200;
+        if (good) {
+            f.latency[c.product].add(c.ended - c.due);
+            f.all_latency.add(c.ended - c.due);
+        }
+        if (good && c.ended - c.due <= p.slo.s) {
+            ++f.fulfilled;
+            served += p.value;
+            got[second] += p.value;
+        } else if (good) {
+            ++f.late;
+        } else if (c.end == CallEnd::answered) {
+            ++(c.status == 429 || c.status == 503 ? f.rate_limited : f.errored);
+        } else {
+            ++(c.end == CallEnd::not_connected ? f.not_connected : f.lost);
+        }
+    }
+    f.service = value > 0 ? served / value : 1;
+    for (size_t i = 0; i < seconds; ++i) f.service_by_second.push_back(asked[i] > 0 ? got[i] / asked[i] : 1);
+}
+
+}  // namespace
+
+Even even(const std::vector<double>& calls) {
+    Even e;
+    if (calls.empty()) return e;
+    double sum = 0, squares = 0;
+    for (const double c : calls) {
+        sum += c;
+        e.idle += c <= 0;
+    }
+    const double n = static_cast<double>(calls.size()), mean = sum / n;
+    if (mean <= 0) return e;
+    for (const double c : calls) squares += (c - mean) * (c - mean);
+    e.most = *std::max_element(calls.begin(), calls.end()) / mean;
+    e.least = *std::min_element(calls.begin(), calls.end()) / mean;
+    e.cv = std::sqrt(squares / n) / mean;
+    return e;
+}
+
+Figures figures(const Day& d) {
+    Figures f;
+    count_calls(d, f);
+    const auto seconds = static_cast<size_t>(std::ceil(d.e.lasts.s));
+    f.heat.assign(static_cast<size_t>(d.e.servers), std::vector<double>(seconds));
+    std::vector<Chosen> chosen;
+    for (const auto& s : d.shots) {
+        if (s.call == 0) {
+            ++f.probes;
+            continue;
+        }
+        ++f.shots;
+        const double at = s.whole - d.start;
+        chosen.push_back({at, s.server, s.proxy});
+        if (at >= 0 && at < static_cast<double>(seconds)) ++f.heat[s.server][static_cast<size_t>(at)];
+    }
+    std::sort(chosen.begin(), chosen.end(), [](auto& a, auto& b) { return a.at < b.at; });
+    lab::Chance chance(d.e.seed, 0x46494755);
+    const double lasts = std::min(d.e.lasts.s, d.end - d.start);
+    std::vector<Even> all_ours, all_random;
+    for (double from = 0; from + d.e.window.s <= lasts + 1e-9; from += d.e.window.s) {
+        const double to = from + d.e.window.s;
+        const auto servers = in_reach(d, d.start + from, d.start + to);
+        Window w{from, 0, static_cast<int>(servers.size()), {}, {}, true};
+        w.ours = ours(d, chosen, servers, from, to, w.calls);
+        w.random = drawn(d.e, servers, w.calls, chance);
+        for (const auto& b : d.befell) w.calm &= b.from - d.start > to || b.to - d.start < from - d.e.window.s;
+        f.windows.push_back(w);
+        all_ours.push_back(w.ours);
+        all_random.push_back(w.random);
+    }
+    f.ours = mean(all_ours);
+    f.random = mean(all_random);
+    std::vector<int> all_servers;
+    for (int s = 0; s < d.e.servers; ++s) all_servers.push_back(s);
+    uint64_t n = 0;
+    f.whole = ours(d, chosen, all_servers, 0, lasts, n);
+    f.whole_random = drawn(d.e, all_servers, n, chance);
+    f.herd = herd(chosen);
+    const Draw draw(d.e, all_servers);
+    for (int i = 0; i < draws; ++i) {
+        auto random = chosen;
+        for (auto& c : random) c.server = static_cast<int>(draw.place(chance));
+        f.herd_random += herd(random) / draws;
+    }
+    f.opens = d.connections.size();
+    for (const auto& t : d.told) f.list_calls += t.asked;
+    for (int s = 0; s < d.e.servers; ++s) {
+        std::vector<std::pair<double, int>> steps;
+        for (const auto& c : d.connections) {
+            if (c.server != s) continue;
+            steps.emplace_back(c.at, 1);
+            if (c.ended > 0) steps.emplace_back(c.ended, -1);
+        }
+        std::sort(steps.begin(), steps.end());
+        int open = 0, most = 0;
+        for (const auto& [at, step] : steps) most = std::max(most, open += step);
+        f.connections_most += static_cast<double>(most) / d.e.servers;
+    }
+    return f;
+}
+
+nlohmann::json to_json(const Day& d, const Figures& f) {
+    const auto spread = [](const Even& e) {
+        return nlohmann::json{{"max", e.most}, {"min", e.least}, {"cv", e.cv}, {"idle", e.idle}};
+    };
+    nlohmann::json latency;
+    for (size_t i = 0; i < f.latency.size(); ++i)
+        latency[d.e.products[i].name] = {{"p50", f.latency[i].quantile(0.5)}, {"p99", f.latency[i].quantile(0.99)}};
+    const auto calls = static_cast<double>(std::max<uint64_t>(1, f.calls));
+    return {{"experiment", d.e.name}, {"arm", d.arm}, {"program", d.program}, {"repeat", d.repeat}, {"seed", d.e.seed},
+            {"whole", d.whole}, {"directory", d.directory}, {"spread", spread(f.ours)}, {"random", spread(f.random)},
+            {"run", spread(f.whole)}, {"run_random", spread(f.whole_random)}, {"herd", f.herd}, {"herd_random", f.herd_random},
+            {"service", f.service}, {"calls", f.calls}, {"fulfilled", f.fulfilled}, {"late", f.late},
+            {"rate_limited", f.rate_limited}, {"errored", f.errored}, {"not_connected", f.not_connected}, {"lost", f.lost},
+            {"shots_a_call", static_cast<double>(f.shots) / calls}, {"probes_a_call", static_cast<double>(f.probes) / calls},
+            {"opens_a_call", static_cast<double>(f.opens) / calls}, {"connections_a_server", f.connections_most},
+            {"list_calls", f.list_calls}, {"latency_s", latency}, {"p50_s", f.all_latency.quantile(0.5)},
+            {"p99_s", f.all_latency.quantile(0.99)}, {"cpu_s_a_proxy", d.cpu / d.e.proxies}, {"memory_mb_a_proxy", d.memory_mb},
+            {"started_in_s", d.started_in}, {"ended_in_s", d.ended_in}};
+}
+
+void print(std::ostream& out, const Day& d, const Figures& f) {
+    const auto row = [&](const char* what, const Even& ours, const Even& random) {
+        out << "  " << std::left << std::setw(26) << what << std::right << std::fixed << std::setprecision(2) << std::setw(7)
+            << ours.most << std::setw(7) << ours.least << std::setw(7) << ours.cv << std::setw(7) << ours.idle << "   |"
+            << std::setw(7) << random.most << std::setw(7) << random.least << std::setw(7) << random.cv << std::setw(7)
+            << random.idle << '\n';
+    };
+    const auto calls = static_cast<double>(std::max<uint64_t>(1, f.calls));
+    out << d.e.name << ", " << d.arm << ", seed " << d.e.seed << ": " << d.e.proxies << " proxies (" << d.program << ") by "
+        << d.e.servers << " servers, " << f.calls << " calls in " << d.e.lasts.s << " s" << (d.whole ? "" : ", INTERRUPTED") << '\n'
+        << "  calls by server" << std::setw(20) << "max" << std::setw(7) << "min" << std::setw(7) << "cv" << std::setw(7) << "idle"
+        << "   | of random draws\n";
+    std::ostringstream each;
+    each << "windows of " << d.e.window.s << " s, mean";
+    row(each.str().c_str(), f.ours, f.random);
+    std::vector<Even> calm, calm_random;
+    for (const auto& w : f.windows)
+        if (w.calm) calm.push_back(w.ours), calm_random.push_back(w.random);
+    if (!d.befell.empty() && !calm.empty()) row("those without a fault", mean(calm), mean(calm_random));
+    row("the whole run", f.whole, f.whole_random);
+    out << std::setprecision(1) << "  herds: at most " << f.herd << " proxies chose one server within 0.1 s, " << f.herd_random
+        << " by chance\n"
+        << std::setprecision(4) << "  service " << f.service << ": " << f.fulfilled << " in time, " << f.late << " late, "
+        << f.rate_limited << " rate-limited, " << f.errored << " errored, " << f.not_connected << " not connected, " << f.lost
+        << " lost\n"
+        << std::setprecision(3) << "  latency p50 " << f.all_latency.quantile(0.5) << " s, p99 " << f.all_latency.quantile(0.99)
+        << " s; a call: " << static_cast<double>(f.shots) / calls << " shots, " << static_cast<double>(f.probes) / calls
+        << " probes, " << static_cast<double>(f.opens) / calls << " opens; " << std::setprecision(1) << f.connections_most
+        << " connections a server; " << f.list_calls << " list calls\n"
+        << std::setprecision(3) << "  a proxy: " << d.cpu / d.e.proxies << " s of processor, " << std::setprecision(1) << d.memory_mb
+        << " MB; started in " << d.started_in << " s, ended in " << d.ended_in << " s\n";
+    for (const auto& p : d.parts)
+        if (p.busiest > 0.8) out << "  " << p.part << " WAS THE BOTTLENECK: " << std::setprecision(2) << p.busiest << " of a core in its busiest second\n";
+    out << std::defaultfloat;
+}
+
+}  // namespace myrtleroute::rig
--- /dev/null
+++ b/src/rig/figures.hpp
@@ -0,0 +1,45 @@
+// What many proxies do together, as figures: how evenly servers are loaded beside random draws, herds beside chance,
+// connections, service, latency, cost.
+#pragma once
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "rig/day.hpp"
+#include "rig/histogram.hpp"
+
+namespace myrtleroute::rig {
+
+struct Even {               // calls by server, each over its size
+    double most = 0, least = 0, cv = 0;   // over the mean; standard deviation over the mean
+    double idle = 0;        // servers with no call
+};
+Even even(const std::vector<double>& calls);
+
+struct Window {
+    double from;            // since the start
+    uint64_t calls;
+    int servers;            // in reach: listed as serving all along
+    Even ours, random;
+    bool calm;              // no fault on, nor within the window before
+};
+
+struct Figures {
+    std::vector<Window> windows;
+    Even ours, random;      // means over the windows
+    Even whole, whole_random;   // the run as one window
+    double herd = 0, herd_random = 0;   // most proxies that chose one server within 100 ms; the same of random draws
+    uint64_t calls = 0, fulfilled = 0, late = 0, rate_limited = 0, errored = 0, not_connected = 0, lost = 0;
+    double service = 0;     // value in time over value asked
+    std::vector<double> service_by_second, calls_by_second;
+    uint64_t shots = 0, probes = 0, opens = 0, list_calls = 0;
+    double connections_most = 0;   // a server, at its highest, in the mean
+    std::vector<std::vector<double>> heat;   // by server and second: calls
+    std::vector<Histogram> latency;          // by product, of fulfilled calls
+    Histogram all_latency;
+};
+
+Figures figures(const Day& day);
+nlohmann::json to_json(const Day& day, const Figures& f);
+void print(std::ostream& out, const Day& day, const Figures& f);
+
+}  // namespace myrtleroute::rig
--- /dev/null
+++ b/src/rig/part.cpp
@@ -0,0 +1,95 @@
+#include "rig/part.hpp"
+
+#include <fcntl.h>
+#include <time.h>
+
+#include <iomanip>
+
+namespace myrtleroute::rig {
+
+namespace {
+
+constexpr uint64_t beat_cookie = ~0ULL;
+constexpr Span beat_every{0.02}, late{0.03};
+
+double processor_time() {
+    timespec t{};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) / 1e9;
+}
+
+}  // namespace
+
+struct Part::Control : memory::Connection, memory::Owner {
+    Control(Part& part, int fd) : Connection(*this, fd, 256 * 1024, 1024 * 1024), part(part) {}
+    std::string name() const override { return "conductor"; }
+    void came(Connection& c) override { part.control_came(c); }
+    void broke(Connection&, int) override { part.over_ = true; }
+    void due(Connection&) override {}
+    Part& part;
+    std::string line;
+};
+
+Part::Part(Experiment e, std::string directory, std::string name)
+    : e_(std::move(e)), log_(run::Level::warning, home_), loop_(log_, home_), directory_(std::move(directory)),
+      name_(std::move(name)) {
+    ::fcntl(control_fd, F_SETFL, O_NONBLOCK);
+    ::fcntl(control_fd, F_SETFD, FD_CLOEXEC);
+    control_ = &loop_.adopt(std::make_unique<Control>(*this, control_fd));
+}
+
+void Part::control_came(memory::Connection& c) {
+    auto& line = static_cast<Control&>(c).line;
+    while (!c.in.empty()) {
+        const auto bytes = c.in.front();
+        const auto end = bytes.find('\n');
+        line.append(bytes.substr(0, end));
+        c.in.drop(end == bytes.npos ? bytes.size() : end + 1);
+        if (end == bytes.npos) continue;
+        std::istringstream words(std::exchange(line, ""));
+        std::string word;
+        words >> word;
+        if (word == "end") {
+            over_ = true;
+        } else {
+            if (word == "go") words >> start_.s;
+            told(word, words);
+        }
+    }
+    if (c.ended) over_ = true;
+}
+
+void Part::tell(const std::string& line) {
+    control_->out.push(line + "\n");
+    loop_.flush(*control_);
+}
+
+// Guards against blaming proxies for what a busy machine did: a beat that comes late says that nobody ran on time.
+void Part::beat() {
+    const Time now = loop_.now();
+    if (now - beat_at_ > late) starved_.push_back({at(beat_at_), at(now)});
+    beat_at_ = now + beat_every;
+    loop_.wake(beat_at_, beat_cookie);
+    if (now - second_at_ < Span{1}) return;
+    const double cpu = processor_time();
+    busiest_ = std::max(busiest_, (cpu - cpu_) / (now - second_at_).s);
+    cpu_ = cpu;
+    second_at_ = now;
+}
+
+int Part::run() {
+    beat_at_ = second_at_ = home_.now();
+    beat();
+    const auto woken_all = [this](uint64_t cookie) { cookie == beat_cookie ? beat() : woken(cookie); };
+    while (!over_) loop_.round(woken_all, [] {});
+    finish();
+    write_records(file("starved"), starved_);
+    std::ostringstream busy;
+    busy << "busiest " << std::setprecision(3) << busiest_ << '\n';
+    const auto text = busy.str();
+    control_->out.push(text);
+    loop_.flush(*control_);
+    return 0;
+}
+
+}  // namespace myrtleroute::rig
--- /dev/null
+++ b/src/rig/report.hpp
@@ -0,0 +1,18 @@
+// The page of a set of runs: plots that a browser shows without a network. docs/rig-operators.md reads one.
+#pragma once
+#include <ostream>
+#include <vector>
+
+#include "rig/figures.hpp"
+#include "rig/judge.hpp"
+
+namespace myrtleroute::rig {
+
+struct Seen {
+    Day day;
+    Figures figures;
+    Verdict verdict;
+};
+void write_report(std::ostream& out, const std::vector<Seen>& runs);
+
+}  // namespace myrtleroute::rig
--- /dev/null
+++ b/src/rig/rig_home.cpp
@@ -0,0 +1,178 @@
+#include "rig/rig_home.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "rig/links.hpp"
+
+namespace myrtleroute::rig {
+
+namespace {
+
+constexpr int backlog = 4096;
+constexpr size_t most_datagram = 64 * 1024;
+
+void say_yes(int fd, int level, int option) {
+    const int on = 1;
+    ::setsockopt(fd, level, option, &on, sizeof on);
+}
+
+int bound(int type, const sockaddr_in& at, bool shared) {
+    const int fd = ::socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) return fd;
+    say_yes(fd, SOL_SOCKET, SO_REUSEADDR);
+    if (shared) say_yes(fd, SOL_SOCKET, SO_REUSEPORT);   // a deaf listener takes single addresses out of it
+    // Nothing but this machine may come; where the system refuses that, addresses of links still tell it.
+    ::setsockopt(fd, SOL_SOCKET, SO_BINDTODEVICE, "lo", 3);
+    if (::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return fd;
+    const int error = errno;
+    ::close(fd);
+    errno = error;
+    return -1;
+}
+
+uint16_t port_of(int fd) {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    return ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0 ? ntohs(at.sin_port) : 0;
+}
+
+}  // namespace
+
+RigHome::RigHome() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), buffer_(most_datagram) {}
+RigHome::~RigHome() { ::close(epoll_); }
+
+// Same contract as poll(2). Looking through the list costs little beside asking the system for each of thousands.
+int RigHome::wait(pollfd* polled, size_t n, int ms) {
+    for (size_t i = 0; i < n; ++i) {
+        auto& p = polled[i];
+        p.revents = 0;
+        const auto fd = static_cast<size_t>(p.fd);
+        if (fd >= known_.size()) known_.resize(fd + 64);
+        auto& known = known_[fd];
+        known.place = i;
+        if (known.in && known.events == p.events) continue;
+        epoll_event wanted{};
+        wanted.events = static_cast<uint32_t>(p.events);
+        wanted.data.fd = p.fd;
+        ::epoll_ctl(epoll_, known.in ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, p.fd, &wanted);
+        known.in = true;
+        known.events = p.events;
+    }
+    std::array<epoll_event, 512> came;
+    const int heard = ::epoll_wait(epoll_, came.data(), static_cast<int>(came.size()), ms);
+    for (int i = 0; i < heard; ++i)
+        polled[known_[static_cast<size_t>(came[i].data.fd)].place].revents = static_cast<short>(came[i].events);
+    return heard;
+}
+
+void RigHome::close(int fd) {
+    if (static_cast<size_t>(fd) < known_.size()) known_[static_cast<size_t>(fd)] = {};
+    if (static_cast<size_t>(fd) < fillers_.size() && fillers_[static_cast<size_t>(fd)] > 0)
+        PosixHome::close(std::exchange(fillers_[static_cast<size_t>(fd)], 0));
+    PosixHome::close(fd);
+}
+
+int RigHome::listen_anywhere(uint16_t& port) {
+    const int fd = bound(SOCK_STREAM, address(INADDR_ANY, port), true);
+    if (fd < 0) return fd;
+    say_yes(fd, IPPROTO_TCP, TCP_NODELAY);   // accepted ones take it over
+    port = port_of(fd);
+    if (::listen(fd, backlog) == 0) return fd;
+    PosixHome::close(fd);
+    return -1;
+}
+
+// A queue of one that is full: the system drops what asks to connect, as a cut network does.
+int RigHome::listen_deaf(const sockaddr_in& at) {
+    const int fd = bound(SOCK_STREAM, at, true);
+    if (fd < 0) return fd;
+    if (::listen(fd, 0) != 0) {
+        PosixHome::close(fd);
+        return -1;
+    }
+    bool at_once;
+    const int filler = connect_to(at, at_once);
+    if (fillers_.size() <= static_cast<size_t>(fd)) fillers_.resize(static_cast<size_t>(fd) + 64);
+    fillers_[static_cast<size_t>(fd)] = filler;
+    return fd;
+}
+
+std::optional<sockaddr_in> RigHome::local(int fd) {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) return {};
+    return at;
+}
+
+void RigHome::reset_on_close(int fd) {
+    const linger at_once{1, 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+int RigHome::hold_port(uint16_t& port) {
+    const int fd = bound(SOCK_STREAM, address(INADDR_LOOPBACK, 0), false);
+    if (fd >= 0) port = port_of(fd);
+    return fd;
+}
+
+int RigHome::datagrams_anywhere(uint16_t& port) {
+    const int fd = bound(SOCK_DGRAM, address(INADDR_ANY, port), false);
+    if (fd < 0) return fd;
+    say_yes(fd, IPPROTO_IP, IP_PKTINFO);
+    port = port_of(fd);
+    return fd;
+}
+
+std::optional<RigHome::Datagram> RigHome::receive(int fd) {
+    Datagram d{};
+    iovec part{buffer_.data(), buffer_.size()};
+    alignas(cmsghdr) char control[CMSG_SPACE(sizeof(in_pktinfo))];
+    msghdr message{};
+    message.msg_name = &d.from;
+    message.msg_namelen = sizeof d.from;
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+    const auto n = ::recvmsg(fd, &message, MSG_DONTWAIT);
+    if (n < 0) return {};
+    for (auto* c = CMSG_FIRSTHDR(&message); c; c = CMSG_NXTHDR(&message, c))
+        if (c->cmsg_level == IPPROTO_IP && c->cmsg_type == IP_PKTINFO) {
+            in_pktinfo info;
+            std::memcpy(&info, CMSG_DATA(c), sizeof info);
+            d.to = address(ntohl(info.ipi_addr.s_addr), port_of(fd));
+        }
+    d.bytes = {buffer_.data(), static_cast<size_t>(n)};
+    return d;
+}
+
+bool RigHome::send(int fd, const Datagram& d) {
+    iovec part{const_cast<char*>(d.bytes.data()), d.bytes.size()};
+    sockaddr_in to = d.to;
+    alignas(cmsghdr) char control[CMSG_SPACE(sizeof(in_pktinfo))] = {};
+    msghdr message{};
+    message.msg_name = &to;
+    message.msg_namelen = sizeof to;
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+    auto* c = CMSG_FIRSTHDR(&message);
+    c->cmsg_level = IPPROTO_IP;
+    c->cmsg_type = IP_PKTINFO;
+    c->cmsg_len = CMSG_LEN(sizeof(in_pktinfo));
+    in_pktinfo info{};
+    info.ipi_spec_dst = d.from.sin_addr;   // the receiver sees it as the sender
+    std::memcpy(CMSG_DATA(c), &info, sizeof info);
+    return ::sendmsg(fd, &message, MSG_DONTWAIT | MSG_NOSIGNAL) >= 0;
+}
+
+}  // namespace myrtleroute::rig
