--- a/src/rig/conductor.cpp
+++ b/src/rig/conductor.cpp
@@ -91,7 +91,7 @@
     const Time most = home_.now() + Span{2};
     while (home_.now() < most && (!ids_.empty() || std::any_of(parts_.begin(), parts_.end(), [](auto& p) { return p->pid > 0; }))) {
         reap();
-        home_.wait(nullptr, 0, 5);
+        home_.PosixHome::wait(nullptr, 0, 5);   // nothing but time
     }
     if (door_fd_ >= 0) home_.close(door_fd_);
     loop_.end_all(Why::stopping);
--- a/src/rig/relay_cost.hpp
+++ b/src/rig/relay_cost.hpp
@@ -1,4 +1,4 @@
-// Measures what a relay costs by itself, on this machine.
+// Measures what a relay costs by itself, on this machine: an echo behind it, asked directly and through it.
 #pragma once
 #include <ostream>
 #include <string>
@@ -6,7 +6,8 @@
 
 namespace myrtleroute::rig {
 
-// For each number of links: the time of a small exchange without and with a relay, connections and bytes a second.
+// For each number of links a row each way: time of a small exchange, connections and bytes a second.
+// Throws std::runtime_error where the system gives no sockets or processes for it.
 void relay_cost(std::ostream& out, const std::string& self, const std::vector<int>& links);
 
 }  // namespace myrtleroute::rig
--- a/src/rig/rig_home.cpp
+++ b/src/rig/rig_home.cpp
@@ -49,7 +49,8 @@
 RigHome::RigHome() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), buffer_(most_datagram) {}
 RigHome::~RigHome() { ::close(epoll_); }
 
-// Same contract as poll(2). Looking through the list costs little beside asking the system for each of thousands.
+// Same contract as poll(2), for all that is open: what was polled once has to stay in the list until it is closed.
+// Looking through the list costs little beside asking the system for each of thousands.
 int RigHome::wait(pollfd* polled, size_t n, int ms) {
     for (size_t i = 0; i < n; ++i) {
         auto& p = polled[i];
