--- a/src/rig/figures.cpp
+++ b/src/rig/figures.cpp
@@ -100,6 +100,68 @@
     return static_cast<double>(most);
 }
 
+constexpr double pool_within = 10;
+
+double variance(const std::vector<double>& values) {
+    double sum = 0, squares = 0;
+    for (const double v : values) sum += v;
+    const double n = static_cast<double>(values.size()), mean = sum / n;
+    for (const double v : values) squares += (v - mean) * (v - mean);
+    return squares / n;
+}
+
+Causes causes(const Day& d, const std::vector<Chosen>& chosen, const std::vector<Window>& windows) {
+    const auto servers = static_cast<size_t>(d.e.servers), proxies = static_cast<size_t>(d.e.proxies);
+    Causes all;
+    std::vector<double> rest_sum(servers);   // of all windows, over their means
+    double chance_sum = 0, residual_sum = 0;
+    for (const auto& w : windows) {
+        const double to = w.from + d.e.window.s;
+        std::vector<std::set<int>> pools(proxies);
+        std::vector<double> by_proxy(proxies), by_server(servers);
+        double total = 0;
+        for (const auto& c : chosen) {
+            if (c.at >= w.from - pool_within && c.at < to + pool_within) pools[static_cast<size_t>(c.proxy)].insert(c.server);
+            if (c.at < w.from || c.at >= to) continue;
+            ++by_proxy[static_cast<size_t>(c.proxy)];
+            ++by_server[static_cast<size_t>(c.server)];
+            ++total;
+        }
+        if (total <= 0) continue;
+        std::vector<double> expected(servers), even_traffic(servers), rest(servers);
+        double chance = 0, senders = 0;
+        for (const auto& pool : pools) senders += !pool.empty();
+        for (size_t p = 0; p < proxies; ++p) {
+            const auto k = static_cast<double>(pools[p].size());
+            for (const int s : pools[p]) {
+                expected[static_cast<size_t>(s)] += by_proxy[p] / k;
+                even_traffic[static_cast<size_t>(s)] += total / senders / k;
+                chance += by_proxy[p] / k * (1 - 1 / k);
+            }
+        }
+        const double n = static_cast<double>(servers), mean = total / n, square = mean * mean;
+        for (size_t s = 0; s < servers; ++s) {
+            rest[s] = by_server[s] - expected[s];
+            rest_sum[s] += rest[s] / mean;
+        }
+        const double observed = variance(by_server), pools_and_traffic = variance(expected), residual = variance(rest);
+        all.observed += observed / square;
+        all.pools += variance(even_traffic) / square;
+        all.traffic += (pools_and_traffic - variance(even_traffic)) / square;
+        all.together += (observed - pools_and_traffic - residual) / square;
+        chance_sum += chance / n / square;
+        residual_sum += residual / square;
+    }
+    const auto n = static_cast<double>(std::max<size_t>(1, windows.size()));
+    // Were the choice the same in each window, its mean over windows would vary as much as one window's.
+    all.chance = chance_sum;
+    const double excess = residual_sum - chance_sum;
+    all.lasting = n > 1 ? (variance(rest_sum) / n - residual_sum / n) * n / (n - 1) : 0;
+    all.passing = excess - all.lasting;
+    for (double* part : {&all.observed, &all.pools, &all.traffic, &all.chance, &all.lasting, &all.passing, &all.together}) *part /= n;
+    return all;
+}
+
 void count_calls(const Day& d, Figures& f) {
     const auto seconds = static_cast<size_t>(std::ceil(d.e.lasts.s));
     std::vector<double> asked(seconds), got(seconds);
@@ -189,6 +251,7 @@
         all_ours.push_back(w.ours);
         all_random.push_back(w.random);
     }
+    f.causes = causes(d, chosen, f.windows);
     f.ours = mean(all_ours);
     f.random = mean(all_random);
     std::vector<int> all_servers;
@@ -230,6 +293,9 @@
     const auto calls = static_cast<double>(std::max<uint64_t>(1, f.calls));
     return {{"experiment", d.e.name}, {"arm", d.arm}, {"program", d.program}, {"repeat", d.repeat}, {"seed", d.e.seed},
             {"whole", d.whole}, {"directory", d.directory}, {"spread", spread(f.ours)}, {"random", spread(f.random)},
+            {"causes", {{"observed", f.causes.observed}, {"pools", f.causes.pools}, {"traffic", f.causes.traffic},
+                        {"chance", f.causes.chance}, {"lasting", f.causes.lasting}, {"passing", f.causes.passing},
+                        {"together", f.causes.together}}},
             {"run", spread(f.whole)}, {"run_random", spread(f.whole_random)}, {"herd", f.herd}, {"herd_random", f.herd_random},
             {"service", f.service}, {"calls", f.calls}, {"fulfilled", f.fulfilled}, {"late", f.late},
             {"rate_limited", f.rate_limited}, {"errored", f.errored}, {"not_connected", f.not_connected}, {"lost", f.lost},
@@ -260,6 +326,9 @@
         if (w.calm) calm.push_back(w.ours), calm_random.push_back(w.random);
     if (!d.befell.empty() && !calm.empty()) row("those without a fault", mean(calm), mean(calm_random));
     row("the whole run", f.whole, f.whole_random);
+    out << std::setprecision(4) << "  cv squared " << f.causes.observed << " = pools " << f.causes.pools << " + unequal traffic " << f.causes.traffic
+        << " + chance in pools " << f.causes.chance << " + choice, lasting " << f.causes.lasting << ", passing " << f.causes.passing
+        << " + both together " << f.causes.together << '\n';
     out << std::setprecision(1) << "  herds: at most " << f.herd << " proxies chose one server within 0.1 s, " << f.herd_random
         << " by chance\n"
         << std::setprecision(4) << "  service " << f.service << ": " << f.fulfilled << " in time, " << f.late << " late, "
--- a/src/rig/figures.hpp
+++ b/src/rig/figures.hpp
@@ -23,8 +23,21 @@
     bool calm;              // no fault on, nor within the window before
 };
 
+// Where unevenness comes from, as parts of cv squared that add up to the whole. A proxy's pool is taken to be the
+// servers that it sent to within ten seconds of the window, so what few calls show of a pool counts as the pool.
+struct Causes {
+    double observed = 0;
+    double pools = 0;        // which servers the pools hold, had all proxies the same traffic
+    double traffic = 0;      // more, as their traffic differs
+    double chance = 0;       // even draws of each proxy within its pool
+    double lasting = 0;      // the choice within pools beyond chance: the same servers in all windows,
+    double passing = 0;      // others in each
+    double together = 0;     // twice the covariance of pools and choice
+};
+
 struct Figures {
     std::vector<Window> windows;
+    Causes causes;          // mean over the windows
     Even ours, random;      // means over the windows
     Even whole, whole_random;   // the run as one window
     double herd = 0, herd_random = 0;   // most proxies that chose one server within 100 ms; the same of random draws
