--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -28,6 +28,7 @@
 constexpr double outstanding = 0.1;                // share of failures above the median's
 constexpr double most_wait = 0.55;                 // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
+constexpr int worn = 6;                            // calls a member takes in an interval, else the pool grows
 constexpr uint64_t tick_cookie = 1ULL << 60, list_cookie = tick_cookie + 1;   // call ids stay below
 
 struct Desk {
@@ -130,11 +131,13 @@
     void note_in_flight(int delta) {
         in_flight_ += delta;
         peak_ = std::max(peak_, in_flight_);
-        // A burst is over before the interval is, so growth does not wait for it; shrinking does.
-        if (in_flight_ <= std::ssize(members_) || members_.size() >= order_.size()) return;
+        // A burst is over before the interval is, so growth does not wait for it; shrinking does. Guards
+        // against one with far more short calls than others, hardly any in flight, wearing out a few servers.
+        if (wanted(in_flight_) <= members_.size() || members_.size() >= order_.size()) return;
         target_ = members_.size() + 1;
         refill();
     }
+    size_t wanted(int in_flight) const { return static_cast<size_t>(std::max(in_flight, placed_ / worn)); }
     double share() const { return 3.0 * order_.size() / desk_.set.balancers; }
     // Twice the share where that is a third of the servers at most, so that pools of small fleets differ.
     size_t floor() const {
@@ -142,9 +145,9 @@
         return std::max(least_size, static_cast<size_t>(std::ceil(std::max(share(), wide))));
     }
     void resize() {
-        const auto wanted = std::clamp(static_cast<size_t>(peak_), floor(), most_size);
-        target_ = wanted < target_ ? std::max(wanted, target_ - 2) : wanted;   // shrinks by two at most
-        peak_ = in_flight_;
+        const auto size = std::clamp(wanted(peak_), floor(), most_size);
+        target_ = size < target_ ? std::max(size, target_ - 2) : size;   // shrinks by two at most
+        peak_ = in_flight_, placed_ = 0;
         arrange();
         refill();
     }
@@ -243,6 +246,7 @@
         const bool lent = side.all >= std::max(side.floor, side.room) && warm_share(*shot.server) >= 1;
         for (auto* s : members_) earn(*s, lent);
         shot.server->open.push_back(&shot);
+        ++placed_;
         note_in_flight(+1);
     }
 
@@ -440,11 +444,7 @@
         }
     }
     void refill() {
-        const auto leaves = [this](auto* s) {
-            s->member = s->member && serves(*s);
-            return !s->member;
-        };
-        members_.erase(std::remove_if(members_.begin(), members_.end(), leaves), members_.end());
+        std::erase_if(members_, [this](auto* s) { return !(s->member = s->member && serves(*s)); });
         const size_t size = std::min(std::max(target_, floor()), order_.size());
         for (auto* s : order_)
             if (members_.size() < size && !s->member) join(*s);
@@ -601,7 +601,7 @@
     std::unordered_map<ServerId, std::unique_ptr<Server>> known_;   // looked up only, never walked
     std::vector<Server*> listed_, order_, members_;
     size_t target_ = first_size;
-    int in_flight_ = 0, peak_ = 0, asked_again_ = 0;
+    int in_flight_ = 0, peak_ = 0, asked_again_ = 0, placed_ = 0;
     double size_sum_ = 0, median_share_ = 0;
     bool wide_full_ = false;      // over three quarters turn the product away
     bool wide_ = false;           // over half the pool is penalised
--- a/src/rig/figures.cpp
+++ b/src/rig/figures.cpp
@@ -342,7 +342,7 @@
         << " MB; started in " << d.started_in << " s, ended in " << d.ended_in << " s\n";
     for (const auto& p : d.parts)
         if (p.busiest > 0.8) out << "  " << p.part << " WAS THE BOTTLENECK: " << std::setprecision(2) << p.busiest << " of a core in its busiest second\n";
-    out << std::defaultfloat;
+    out << std::defaultfloat << std::setprecision(6);
 }
 
 }  // namespace myrtleroute::rig
