--- a/src/rig/records.hpp
+++ b/src/rig/records.hpp
@@ -43,7 +43,7 @@
 void write_records(const std::string& path, const std::vector<Record>& all) {
     static_assert(std::is_trivially_copyable_v<Record>);
     std::FILE* file = std::fopen(path.c_str(), "wb");
-    const bool whole = file && std::fwrite(all.data(), sizeof(Record), all.size(), file) == all.size();
+    const bool whole = file && (all.empty() || std::fwrite(all.data(), sizeof(Record), all.size(), file) == all.size());
     if ((file && std::fclose(file) != 0) || !whole) throw std::runtime_error(path + " can't be written");
 }
 
