Rig: one way to tell a connection's link, one splitter of control lines, dead code out

Seen, on reading the change again: the same split of lines in conductor and part, the same look-up of a link in servers, discovery and relay, a second listener in the relay's measure, an unused key and vector. Change: lines.hpp, RigHome::link_of, Listener used there; behaviour as before.

--- a/src/rig/conductor.cpp
+++ b/src/rig/conductor.cpp
@@ -15,6 +15,7 @@
 #include <toml++/toml.h>
 
 #include "lab/chance.hpp"
+#include "rig/lines.hpp"
 #include "rig/lists.hpp"
 
 namespace myrtleroute::rig {
@@ -103,13 +104,7 @@
         return;
     }
     auto& line = static_cast<Line&>(c);
-    while (!line.in.empty()) {
-        const auto bytes = line.in.front();
-        const auto end = bytes.find('\n');
-        line.text.append(bytes.substr(0, end));
-        line.in.drop(end == bytes.npos ? bytes.size() : end + 1);
-        if (end != bytes.npos) heard(*line.part, std::exchange(line.text, ""));
-    }
+    take_lines(line.in, line.text, [&](const std::string& text) { heard(*line.part, text); });
     if (!c.ended) return;
     line.part->line = nullptr;
     loop_.end(c, Why::peer_closed);
--- a/src/rig/discovery.cpp
+++ b/src/rig/discovery.cpp
@@ -167,8 +167,7 @@
 void Discovery::came(Connection& c) {
     if (c.listens) {
         for (int fd; (fd = home_.accept(c.fd)) >= 0;) {
-            const auto local = home_.local(fd);
-            const auto link = local ? link_at(ntohl(local->sin_addr.s_addr)) : std::nullopt;
+            const auto link = home_.link_of(fd);
             if (!link || link->kind != Kind::discovery) {
                 home_.close(fd);
                 continue;
--- a/src/rig/experiment.hpp
+++ b/src/rig/experiment.hpp
@@ -99,7 +99,7 @@
     std::string path, name, text;
     uint64_t seed = 1;
     int proxies = 100, servers = 30, zones = 1, repeats = 1;
-    Span lasts{25}, window{5}, calm_from{0};
+    Span lasts{25}, window{5};
     // Load
     double rate = 4, alpha = 1.5;           // calls a second a proxy in the mean
     std::string law = "equal";              // equal, pareto, zipf, one (has `share` of all)
--- a/src/rig/part.cpp
+++ b/src/rig/part.cpp
@@ -5,6 +5,8 @@
 
 #include <iomanip>
 
+#include "rig/lines.hpp"
+
 namespace myrtleroute::rig {
 
 namespace {
@@ -39,14 +41,8 @@
 }
 
 void Part::control_came(memory::Connection& c) {
-    auto& line = static_cast<Control&>(c).line;
-    while (!c.in.empty()) {
-        const auto bytes = c.in.front();
-        const auto end = bytes.find('\n');
-        line.append(bytes.substr(0, end));
-        c.in.drop(end == bytes.npos ? bytes.size() : end + 1);
-        if (end == bytes.npos) continue;
-        std::istringstream words(std::exchange(line, ""));
+    take_lines(c.in, static_cast<Control&>(c).line, [this](const std::string& line) {
+        std::istringstream words(line);
         std::string word;
         words >> word;
         if (word == "end") {
@@ -55,7 +51,7 @@
             if (word == "go") words >> start_.s;
             told(word, words);
         }
-    }
+    });
     if (c.ended) over_ = true;
 }
 
--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -156,8 +156,7 @@
 
 void Relay::accept(Door& door) {
     for (int fd; (fd = home_.accept(door.fd)) >= 0;) {
-        const auto local = home_.local(fd);
-        const auto link = local ? link_at(ntohl(local->sin_addr.s_addr)) : std::nullopt;
+        const auto link = home_.link_of(fd);
         if (!link || link->kind != door.kind || link->to != door.to) {
             home_.close(fd);
             continue;
--- a/src/rig/relay_cost.cpp
+++ b/src/rig/relay_cost.cpp
@@ -18,6 +18,7 @@
 
 #include "rig/histogram.hpp"
 #include "rig/links.hpp"
+#include "rig/part.hpp"
 #include "rig/process.hpp"
 #include "rig/rig_home.hpp"
 #include "run/loop.hpp"
@@ -36,11 +37,7 @@
     Echo() : log_(run::Level::error, home_), loop_(log_, home_) {}
     [[noreturn]] void run(int ready) {
         uint16_t port = 0;
-        struct Door : memory::Connection {
-            Door(memory::Owner& by, int fd) : Connection(by, fd, 1, 1) { listens = true; }
-            std::string name() const override { return "echo"; }
-        };
-        loop_.adopt(std::make_unique<Door>(*this, home_.listen_anywhere(port)));
+        loop_.adopt(std::make_unique<Listener>(*this, home_.listen_anywhere(port)));
         [[maybe_unused]] const auto n = ::write(ready, &port, sizeof port);
         for (;;) loop_.round([](uint64_t) {}, [] {});
     }
--- a/src/rig/report.cpp
+++ b/src/rig/report.cpp
@@ -105,7 +105,7 @@
         line(out, r.day, r.figures.service_by_second, 1, "Service by second: value in time over value asked");
         const auto& calls = r.figures.calls_by_second;
         line(out, r.day, calls, calls.empty() ? 1 : *std::max_element(calls.begin(), calls.end()), "Calls by second");
-        std::vector<double> cv, random;
+        std::vector<double> cv;
         for (const auto& w : r.figures.windows)
             for (int i = 0; i < static_cast<int>(r.day.e.window.s); ++i) cv.push_back(w.ours.cv);
         line(out, r.day, cv, cv.empty() ? 1 : std::max(0.01, *std::max_element(cv.begin(), cv.end())),
--- a/src/rig/rig_home.cpp
+++ b/src/rig/rig_home.cpp
@@ -10,7 +10,6 @@
 #include <cstring>
 #include <utility>
 
-#include "rig/links.hpp"
 
 namespace myrtleroute::rig {
 
@@ -106,11 +105,11 @@
     return fd;
 }
 
-std::optional<sockaddr_in> RigHome::local(int fd) {
+std::optional<Link> RigHome::link_of(int fd) {
     sockaddr_in at{};
     socklen_t size = sizeof at;
     if (::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) return {};
-    return at;
+    return link_at(ntohl(at.sin_addr.s_addr));
 }
 
 void RigHome::reset_on_close(int fd) {
--- a/src/rig/rig_home.hpp
+++ b/src/rig/rig_home.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "rig/links.hpp"
 #include "run/posix_home.hpp"
 
 namespace myrtleroute::rig {
@@ -23,7 +24,7 @@
 
     int listen_anywhere(uint16_t& port);          // at all loopback addresses; port 0: one that is free, told
     int listen_deaf(const sockaddr_in& at);       // what connects to that address alone is never heard
-    std::optional<sockaddr_in> local(int fd);     // the address that a connection was made to
+    std::optional<Link> link_of(int fd);          // by the address that a connection was made to
     void reset_on_close(int fd);
     int hold_port(uint16_t& port);                // kept from others while open, without listening
 
--- a/src/rig/servers.cpp
+++ b/src/rig/servers.cpp
@@ -101,8 +101,7 @@
 void Servers::close(Server& s) {
     if (!s.listener) return;
     loop_.end(*std::exchange(s.listener, nullptr), Why::stopping);
-    for (auto* jobs : {&s.waiting})
-        for (auto& job : *jobs) shots_[job.shot].fate = Fate::dropped;
+    for (auto& job : s.waiting) shots_[job.shot].fate = Fate::dropped;
     for (auto& job : s.running) shots_[job.shot].fate = Fate::dropped;
     s.waiting.clear();
     s.running.clear();
@@ -115,8 +114,7 @@
         for (auto& each : servers_)
             if (each.listener == &c) s = &each;
         for (int fd; (fd = home_.accept(c.fd)) >= 0;) {
-            const auto local = home_.local(fd);
-            const auto link = local ? link_at(ntohl(local->sin_addr.s_addr)) : std::nullopt;
+            const auto link = home_.link_of(fd);
             if (!link || link->kind != Kind::server || link->to != s->number) {
                 home_.close(fd);
                 continue;
