Pools go back to the first of their order, so that servers that come back are not left idle

Seen on the rig (zone-back-cold, 300 by 60): after a zone's crash 9 of its 20 servers had no call in windows of 5 s, 4 a quarter of a minute later, cv 4 times that of random draws to the end of the run; tenth-replaced 2.2 times. Ruled out: turns of cold servers, since it lasted beyond the warm-up. At fault: refill(), which takes in a server only where the pool lost a member or grew.

Change: settle(), the first server of the order that is no member joins, in the mean every 2.5 s, by chance; the last one goes. One replaced for its quarantines stays out.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <limits>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -134,7 +133,7 @@
         // A burst is over before the interval is, so growth does not wait for it; shrinking does. Guards
         // against one with far more short calls than others, hardly any in flight, wearing out a few servers.
         if (wanted(in_flight_) <= members_.size() || members_.size() >= order_.size()) return;
-        target_ = members_.size() + 1;
+        target_ = wanted(in_flight_);
         refill();
     }
     size_t wanted(int in_flight) const { return static_cast<size_t>(std::max(in_flight, placed_ / worn)); }
@@ -224,7 +223,7 @@
         return recent.total(desk_.now, missed) + 1 <= desk_.set.borne_misses * recent.total(desk_.now, asked);
     }
     // Guards against calls that can only be late, where that costs more than a refusal, holding up others. As
-    // many as cost nothing are let in while little of the room is taken: late, they still have some value.
+    // many as cost nothing are let in: late, they still have some value.
     bool hopeless(const Call& c) {
         if (!desk_.set.tail) return false;
         auto& recent = tail_[kind(c)];
@@ -232,9 +231,7 @@
         if (cuts(c) && (desk_.now > c.arrived + last_use(c) || drags(c))) return true;
         const Span expected = c.work * pace();
         if (expected <= Span{} || desk_.now + expected <= c.arrived + c.product->slo) return false;
-        double room = 0;
-        for (const auto& [zone, side] : sides_) room += side.rate * most_wait * least_slo_.s;
-        if (3 * in_flight_ > room || !borne(c)) return true;
+        if (!borne(c)) return true;
         recent.add(desk_.now, missed);
         return false;
     }
@@ -386,6 +383,7 @@
         }
         replace();
         forget();
+        settle();
     }
 
 private:
@@ -426,22 +424,19 @@
     // while the next is idle.
     void arrange() {
         std::map<std::pair<double, uint16_t>, std::vector<Server*>> zones;   // abroad, by risk
-        std::vector<Server*> parts[2];
         for (auto* s : listed_)
             if (serves(*s)) zones[{far(*s) ? 1 + side_of(*s).risk : 0, far(*s) ? s->zone : 0}].push_back(s);
-        for (auto& [zone, part] : zones) {
+        const size_t others = zones.size() - zones.count({0, 0});
+        std::multimap<size_t, Server*> places;
+        for (size_t other = 0; auto& [zone, part] : zones) {
             const size_t from = desk_.set.me % desk_.set.balancers * part.size() / desk_.set.balancers;
-            std::rotate(part.begin(), part.begin() + from, part.end());
-            if (zone.first == 0) parts[0] = part;
+            for (size_t i = 0; i < part.size(); ++i)
+                places.emplace(zone.first > 0 ? 3 * (i * others + other) + 2 : i / 2 * 3 + i % 2,
+                               part[(from + i) % part.size()]);
+            other += zone.first > 0;
         }
-        for (size_t i = 0, left = 1; left--; ++i)
-            for (auto& [zone, part] : zones)
-                if (zone.first > 0 && i < part.size()) parts[1].push_back(part[i]), left = 1;
         order_.clear();
-        for (size_t home = 0, other = 0; home + other < parts[0].size() + parts[1].size();) {
-            const bool cross = home == parts[0].size() || (order_.size() % 3 == 2 && other < parts[1].size());
-            order_.push_back(cross ? parts[1][other++] : parts[0][home++]);
-        }
+        for (auto& [place, s] : places) order_.push_back(s);
     }
     void refill() {
         std::erase_if(members_, [this](auto* s) { return !(s->member = s->member && serves(*s)); });
@@ -453,10 +448,17 @@
         size_sum_ = 0;
         for (auto* s : members_) size_sum_ += s->size;
     }
+    // Guards against servers that are new, or were gone, staying idle: one joins at a time, spread by chance.
+    void settle() {
+        const auto end = order_.begin() + static_cast<long>(std::min(members_.size(), order_.size()));
+        const auto due = std::find_if(order_.begin(), end, [](auto* s) { return !s->member && s->offences < 3; });
+        if (due == end || replacement_ || desk_.chance.share() * interval.s > 4 * tick.s) return;
+        join(**due);
+        refill();
+    }
     void join(Server& s) {
         s.member = true;
         s.quarantined = false;
-        s.joined = desk_.now;
         s.offences = 0;
         members_.push_back(&s);
     }
@@ -533,7 +535,7 @@
     }
     Server* pick(const std::vector<Server*>& among, const Call& c, bool last, bool& no_room) {
         Server* best = nullptr;
-        std::pair<double, double> least{std::numeric_limits<double>::infinity(), 0};
+        std::pair<double, double> least{HUGE_VAL, 0};
         for (auto* s : among) {
             if (s->quarantined || !serves(*s) || !may_send(c, *s, desk_.now)) continue;
             if (penalised(*s, c) != last) continue;
@@ -560,10 +562,7 @@
         return over > 0.5 ? over - 0.25 : 0;
     }
     double busyness(Server& s, const Call& c, double warm) {
-        double own = s.load();
-        const bool newcomer = warm >= 1 && desk_.now < s.joined + penalty;
-        if (newcomer) own = std::max(own, 1.0 * in_flight_ / std::max<size_t>(1, members_.size()));
-        double cost = own / (relative_size(s) * warm);
+        double cost = s.load() / (relative_size(s) * warm);
         cost += hidden(s, c);
         if (price_of_crossing() > 1) cost += penalty_weight / 2 * side_of(s).risk;
         if (!at_home(s)) cost += price_of_crossing();
