--- a/src/rig/conductor.cpp
+++ b/src/rig/conductor.cpp
@@ -422,7 +422,8 @@
         std::ostringstream rule;
         rule << "rule " << number << ' ' << static_cast<int>(f.link) << ' ' << f.way << ' ' << f.delay << ' ' << f.jitter << ' '
              << f.rate << ' ' << (f.kind == FaultKind::lossy ? f.how : 0) << ' ' << (f.kind == FaultKind::mangle ? f.how : 0) << ' '
-             << (f.kind == FaultKind::half_close ? f.how : 0) << ' ' << 0 << ' ' << (f.kind == FaultKind::stall) << ' '
+             << (f.kind == FaultKind::half_close ? f.how : 0) << ' '
+             << (f.kind == FaultKind::duplicate ? f.how : 0) << ' ' << (f.kind == FaultKind::stall) << ' '
              << (f.kind == FaultKind::cut) << ' ' << (f.kind == FaultKind::cut_hard) << ' ' << write_list(f.who.members) << ' '
              << write_list(f.to.members);
         tell_all("relay", rule.str());
--- a/src/rig/experiment.hpp
+++ b/src/rig/experiment.hpp
@@ -52,7 +52,8 @@
     X(throttle, link, "rate bytes a second a connection")                                                    \
     X(lossy, link, "the share `how` of the pieces comes 200 ms later; of datagrams is lost")                 \
     X(mangle, link, "from the share `how` of the pieces bytes get lost in the middle, then a reset")         \
-    X(half_close, link, "the share `how` of the pieces is the last in its direction")
+    X(half_close, link, "the share `how` of the pieces is the last in its direction")                        \
+    X(duplicate, link, "the share `how` of the datagrams comes twice")
 
 enum class Whom { process, server, discovery, link };
 enum class FaultKind {
