A silent watch is given up half a second after its wait, watches don't end together

Ruled out: the decisions (no shot to a draining host after its list change), the list itself. Change: a call that waits is given up 0.5 s after its wait; waits are drawn from 0.7 to 1 of the longest; a connection to discovery has a limit of its own of 1 s (was the call's, up to 62 s); the wait after failures grows with AskWithin up to 6 s only, since what discovery has had that long counts as told. Two tests of the watch's exact hold_ms now check its range, for it is drawn by chance. Tests: watch_test.cpp and one of the decisions; on the program before: "3.013 < 3" failed, no line "discovery ended: connect_timed_out" in 10 s, "4 == 5" lists asked for.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -119,9 +119,9 @@
         arrange();
         refill();
     }
-    // Asks again with growing, random waits that spare the list service, but within AskWithin, for drains.
+    // Asks again with growing, random waits that spare the list service, but in time for drains.
     void list_failed() {
-        const Span wait = desk_.set.ask_within * (std::min(16, 1 << asked_again_) / 40.0);
+        const Span wait = std::min(desk_.set.ask_within, most_untold) * (std::min(16, 1 << asked_again_) / 40.0);
         asked_again_ = std::min(4, asked_again_ + 1);
         desk_.out.wake(wait * (0.5 + desk_.chance.share() / 2), list_cookie);
     }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -16,6 +16,9 @@
 // How long a server that is gone is remembered after it was last listed as running, or last answered a call.
 constexpr Span most_memory{60};
 
+// What the list service has had to tell for so long counts as told, whatever call to it failed.
+constexpr Span most_untold{6};
+
 class Actions {
 public:
     virtual ~Actions() = default;
--- a/src/memory/connection.hpp
+++ b/src/memory/connection.hpp
@@ -37,6 +37,7 @@
 public:
     virtual ~Owner() = default;
     virtual void came(Connection&) = 0;               // bytes, or the other end's last (c.ended)
+    virtual void up(Connection&) {}                   // it has come up
     virtual void went(Connection&) {}                 // all that was to be written is written
     virtual void broke(Connection&, int error) = 0;   // also: never came up
     virtual void due(Connection&) = 0;                // its timer
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -90,6 +90,8 @@
         if (const int error = home_.error_of(c.fd)) return c.owner->broke(c, error);
         if (!(what & POLLOUT)) return;
         c.connecting = false;
+        c.owner->up(c);
+        if (!c.open()) return;
     }
     if ((what & POLLOUT) && !c.out.empty()) {
         flush(c);
--- a/src/run/watcher.cpp
+++ b/src/run/watcher.cpp
@@ -16,7 +16,13 @@
 
 constexpr size_t most_list = 4 << 20;
 constexpr Span most_hold{60};
-constexpr Span answers_within{2};   // a call that does not wait, or after its wait
+constexpr Span up_within{1};        // a connection to discovery
+constexpr Span answers_within{2};   // a call that does not wait
+// What a watch that has fallen silent misses counts as told 2 s after its wait is over. Guards against drains that
+// go unheard: it is given up after a quarter of that, and the rest is for the call that takes its place, which may
+// have to wait its turn behind those of other proxies.
+constexpr Span silent_after{0.5};
+constexpr double shortest_hold = 0.7;   // of the longest: watches that began together don't end together
 constexpr Span rest{0.1};           // a watch goes on as long as the next call comes within twice this
 
 }  // namespace
@@ -28,12 +34,13 @@
     wire::ReplyReader reader;
     wire::HttpMachine http;
     Time asked;
+    Span hold;
     bool answered = false;   // an earlier call on this connection
     bool rests = false;      // until the next one
 };
 
 Watcher::Watcher(Shared& shared, Servers& servers)
-    : s_(shared), servers_(servers), zones_(shared.settings().zones) {
+    : s_(shared), servers_(servers), zones_(shared.settings().zones), chance_(shared.config.seed) {
     clocks_apart_ = s_.home.unix_time() - s_.home.now().s;
 }
 
@@ -60,17 +67,25 @@
     // Held no longer than the time within which a balancer that does not watch has to ask.
     const Span ask_within = s_.settings().ask_within;
     const Span longest = ask_within > Span{} ? std::min(most_hold, ask_within) : most_hold;
-    const Span hold = has_rev_ ? longest : Span{};
+    const Span hold = has_rev_ ? longest * (shortest_hold + (1 - shortest_hold) * chance_.share()) : Span{};
     const auto hold_ms = std::to_string(static_cast<int>(hold.s * 1000));
     std::string target = "/discovery/hosts";
     if (has_rev_) target += "?from=" + std::to_string(rev_) + "&hold_ms=" + hold_ms;
     call_->out.push("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
     call_->asked = s_.loop.now();
+    call_->hold = hold;
     call_->rests = false;
-    s_.loop.set(*call_, s_.loop.now() + hold + answers_within);
+    set_limit();
     s_.loop.flush(*call_);
 }
 
+void Watcher::set_limit() {
+    const Span waits = call_->hold > Span{} ? call_->hold + silent_after : answers_within;
+    s_.loop.set(*call_, call_->asked + (call_->connecting ? up_within : waits));
+}
+
+void Watcher::up(Connection&) { set_limit(); }
+
 void Watcher::came(Connection&) {
     auto& c = *call_;   // there is never another
     while (!c.in.empty() && !c.http.done() && !c.http.fault()) c.in.drop(c.http.feed(c.in.front()));
@@ -103,7 +118,7 @@
 
 void Watcher::due(Connection&) {
     if (call_->rests) ask();
-    else failed(Why::answer_timed_out);
+    else failed(call_->connecting ? Why::connect_timed_out : Why::answer_timed_out);
 }
 
 void Watcher::failed(Why why) {
--- a/src/run/watcher.hpp
+++ b/src/run/watcher.hpp
@@ -1,5 +1,6 @@
 // Discovery's side: watches the list of servers and tells it.
 #pragma once
+#include "random.hpp"
 #include "run/servers.hpp"
 #include "run/shared.hpp"
 #include "wire/discovery.hpp"
@@ -21,6 +22,7 @@
                 std::string_view state, double size, double boot_ms) override;
     void list_ends() override;
 
+    void up(memory::Connection& c) override;
     void came(memory::Connection& c) override;
     void broke(memory::Connection& c, int error) override;
     void due(memory::Connection& c) override;
@@ -28,6 +30,7 @@
 private:
     struct Call;
     void ask();
+    void set_limit();                      // of the call that is out
     void failed(memory::Why why);
     void no_list();
     uint16_t zone_number(std::string_view name);
@@ -38,6 +41,7 @@
     Call* call_ = nullptr;
     std::string body_;
     std::vector<std::string> zones_;
+    Pcg chance_;
     double clocks_apart_;            // seconds from this machine's steady clock to Unix time
     uint64_t rev_ = 0, lists_ = 0, entries_ = 0;
     bool has_rev_ = false, has_list_ = false, cached_ = false, whole_ = false, wanted_ = false;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -842,6 +842,15 @@
     }
 }
 
+TEST_CASE("the list is asked for again before what it has counts as told, however seldom it has to be asked for") {
+    Play play("Discovery=on_request\nGuarantees.AskWithinS=40", 6);
+    for (int failures = 1; failures <= 6; ++failures) {
+        play.balancer->list_failed(play.now);
+        play.pass(6 - 2 - 1);   // a call may take 2 s, and the answer has to be in
+        CHECK(play.count("watch") == failures + 1);
+    }
+}
+
 TEST_CASE("a member often quarantined unlike the rest is replaced once another has answered a probe") {
     Play play("Balancers=6", 12);
     play.answer_some(140, 0.3);                        // the pool is at its floor of six
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -118,6 +118,8 @@
         REQUIRE(called(soon));
         return Wire(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
     }
+    // From now on nobody who connects is heard; the connections that see to it end with what is given back.
+    std::vector<Wire> deafen();
     std::string endpoint;
 
 private:
@@ -132,6 +134,13 @@
     return Wire();
 }
 
+inline std::vector<Wire> Listener::deafen() {
+    REQUIRE(::listen(fd_, 0) == 0);
+    std::vector<Wire> crowd;
+    for (int i = 0; i < 8; ++i) crowd.push_back(connect(endpoint, SOCK_NONBLOCK));
+    return crowd;
+}
+
 inline std::string answer(const std::string& body, const std::string& status = "200 OK", const std::string& fields = "") {
     return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -153,6 +162,12 @@
     return R"({"rev":)" + std::to_string(rev) + R"(,"all":)" + (all ? "true" : "false") + R"(,"targets":[)" + entries + "]}";
 }
 
+// Seconds for which a call to discovery waits; 0 where it does not, or is no watch from that version on.
+inline double hold_of(const std::string& call, const std::string& from) {
+    const auto start = "GET /discovery/hosts?from=" + from + "&hold_ms=";
+    return call.find(start) == 0 ? std::stod(call.substr(start.size())) / 1000 : 0;
+}
+
 inline std::string product(const std::string& name, const std::string& repeat) {
     return R"({"Name":")" + name + R"(","BilledValue":1,"LatencySloS":4,"ClientTimeoutS":5,"Idempotency":")" + repeat +
            R"(","Streaming":false})";
