What waits for a connection is decided anew, and told the time left, when that comes up

Cause: Servers::dispatch wrote head and X-Timeout into the ring while the connection was still coming up, and the loop sent it whenever that was. By reading, then forced on loopback: a host was told 3.98 s where 3.19 s were left; a call went to a host that had begun to drain meanwhile; a cancelled call of which no byte had gone out counted as one that may have run. A deduplicated repeat could be written past its window the same way (table of the decisions). Ruled out: connections that are reused or up at once; they are written in the instant of the decision. Change: nothing is laid out before Owner::up; then the decisions are asked once more (Balancer::may_begin: call not over, server still in use, no effect twice); what may not begin ends as never sent and is chosen for anew. Tests: attempt_test.cpp (three) and a table in logic_test.cpp; on the program before: "3.98 < 3.19", no call at the other host in 10 s, no "shots_never_sent=1".

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -55,10 +55,10 @@
     return p.group == Group::all || (p.group == Group::zone ? a.zone == b.zone : a.cell == b.cell);
 }
 
-// No effect twice: whether a shot of the call may go to this server now.
-bool may_send(const Call& c, const Server& s, Time now) {
+// No effect twice: whether a shot of the call, a further one or that one, may go to this server now.
+bool may_send(const Call& c, const Server& s, Time now, const Shot* that = nullptr) {
     for (const auto& shot : c.shots) {
-        if (idempotent(c) || !shot.may_have_run()) continue;
+        if (&shot == that || idempotent(c) || !shot.may_have_run()) continue;
         if (c.product->repeat == Repeat::non_idempotent) return false;
         if (!same_group(*c.product, *shot.server, s) || now - shot.sent >= c.product->window) return false;
     }
@@ -312,6 +312,10 @@
         }
     }
 
+    // Guards against a drain or the end of a window that came while the shot's connection was coming up.
+    bool may_begin(const Shot& shot) const {
+        return serves(*shot.server) && may_send(*shot.call, *shot.server, desk_.now, &shot);
+    }
     bool restarting() const { return desk_.now < restarted_ + interval * 2; }
 
     void lay_ghosts(Server& s, Time sent_by) {
@@ -770,6 +774,10 @@
         over(*c);
         forget_if_over(*c);
     }
+    bool may_begin(Time now, CallId id, int shot) override {
+        auto* c = find(now, id);
+        return c && c->out(shot) && !c->ended && fleet_.may_begin(*c->out(shot));
+    }
     void stream_began(Time now, CallId id, int shot) override {
         auto* c = find(now, id);
         if (!c || !c->out(shot)) return;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -47,6 +47,9 @@
     virtual void call_arrived(Time now, CallId id, uint32_t product, uint32_t tenant, Span patience,
                               Span work, uint64_t key, bool again) = 0;
     virtual void client_left(Time now, CallId id) = 0;
+    // Asked when the connection that a shot had to wait for has come up: whether its first byte may still go out.
+    // What does not go out ends as never sent.
+    virtual bool may_begin(Time now, CallId id, int shot) = 0;
     virtual void stream_began(Time now, CallId id, int shot) = 0;
     virtual void shot_ended(Time now, CallId id, int shot, Outcome outcome, bool call_done) = 0;
     virtual void probed(Time now, ServerId id, bool answered) = 0;
--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -60,7 +60,7 @@
     }
     line->call = &call;
     line->shot = shot;
-    dispatch(*line, call.ask.head, call.ask.body, try_for);
+    dispatch(*line, try_for);
 }
 
 // The latest used of the idle connections that has not been closed at the other end, or else a new one.
@@ -92,28 +92,54 @@
     return &s_.loop.adopt(std::move(line));
 }
 
-void Servers::dispatch(Line& line, const std::string& head, const std::string& body, Span try_for) {
+void Servers::dispatch(Line& line, Span try_for) {
     line.sent = s_.loop.now();
     line.begun = false;
     line.until = line.sent + try_for;
+    line.waits = line.connecting;
+    const auto up_by = line.sent + s_.settings().connect_timeout;
+    s_.loop.set(line, line.waits ? std::min(line.until, up_by) : line.until);
+    if (!line.waits) write(line);
+}
+
+// Guards against what changed while the connection was coming up: the server may drain by now, a window may be over,
+// and less time is left than when the call was handed over.
+void Servers::up(Connection& connection) {
+    auto& line = static_cast<Line&>(connection);
+    line.waits = false;
+    const bool late = s_.loop.now() >= line.until;
+    if (late) return timed_out(line, Outcome::connect_failed, Why::connect_timed_out);
+    if (line.call && !s_.balancer->may_begin(s_.loop.now(), line.call->id, line.shot))
+        return ends(line, Outcome::never_sent, Why::server_left);
+    s_.loop.set(line, line.until);
+    write(line);
+}
+
+void Servers::write(Line& line) {
+    if (line.call) write(line, line.call->ask.head, line.call->ask.body);
+    else write(line, "GET /alive HTTP/1.1\r\nHost: " + line.server->endpoint + "\r\n", "");
+    s_.loop.flush(line);
+}
+
+void Servers::write(Line& line, const std::string& head, const std::string& body) {
+    const auto left = static_cast<long long>((line.until - s_.loop.now()).s * 1e6);
     line.out.push(head);
-    line.out.push("X-Timeout: " + std::to_string(static_cast<long long>(try_for.s * 1e6)) + "u\r\n");
+    line.out.push("X-Timeout: " + std::to_string(left) + "u\r\n");
     if (!body.empty() || head.front() == 'P')
         line.out.push("Content-Length: " + std::to_string(body.size()) + "\r\n");
     line.out.push("\r\n");
     line.out.push(body);
-    const auto up_by = s_.loop.now() + s_.settings().connect_timeout;
-    s_.loop.set(line, line.connecting ? std::min(line.until, up_by) : line.until);
-    s_.loop.flush(line);
 }
 
 void Servers::cancel(memory::Held& call, int shot) {
     if (shot < 0 || shot >= static_cast<int>(call.shots.size()) || !call.shots[shot]) return;
     auto& line = static_cast<Line&>(*call.shots[shot]);
+    // What no byte of has gone out provably never ran.
+    const auto outcome = line.waits ? Outcome::never_sent : Outcome::cancelled;
     call.shots[shot] = nullptr;
     line.call = nullptr;
     s_.loop.end(line, Why::cancelled);
-    ended_.push_back({call.id, shot, Outcome::cancelled, 0});
+    ended_.push_back({call.id, shot, outcome, 0});
 }
 
 void Servers::probe(ServerId id) {
@@ -125,8 +151,7 @@
         return;
     }
     line->probes = true;
-    dispatch(*line, "GET /alive HTTP/1.1\r\nHost: " + line->server->endpoint + "\r\n", "",
-             s_.settings().connect_timeout * probe_share);
+    dispatch(*line, s_.settings().connect_timeout * probe_share);
 }
 
 void Servers::came(Connection& connection) {
@@ -242,8 +267,6 @@
         timed_out(line, Outcome::connect_failed, Why::connect_timed_out);
     } else if (line.begun) {
         ends(line, Outcome::reset, Why::bad_answer);   // it stopped short, or its head has no end
-    } else if (s_.loop.now() < line.until) {
-        s_.loop.set(line, line.until);   // it came up in time
     } else {
         const auto outcome = line.out.empty() ? Outcome::timed_out : Outcome::connect_failed;
         timed_out(line, outcome, Why::answer_timed_out);
--- a/src/run/servers.hpp
+++ b/src/run/servers.hpp
@@ -22,6 +22,7 @@
     int shot = 0;
     bool probes = false;
     Time sent, until;            // what it carries, and when that is given up
+    bool waits = false;          // it is written once the connection is up
     bool begun = false;          // its answer has
     Time answered = long_ago;    // its last whole one
     bool idle = false;           // in both lists, at its places
@@ -45,13 +46,16 @@
     void settle();    // tells the decisions what ended inside of their own actions
     bool settled() const { return ended_.empty(); }
 
+    void up(memory::Connection& c) override;
     void came(memory::Connection& c) override;
     void broke(memory::Connection& c, int error) override;
     void due(memory::Connection& c) override;
 
 private:
     memory::Line* line_to(ServerId id, Outcome& otherwise);
-    void dispatch(memory::Line& line, const std::string& head, const std::string& body, Span try_for);
+    void dispatch(memory::Line& line, Span try_for);   // now, or once the connection is up
+    void write(memory::Line& line);
+    void write(memory::Line& line, const std::string& head, const std::string& body);
     void ends(memory::Line& line, Outcome outcome, memory::Why why);   // and closes it
     void done(memory::Line& line);
     void unused(memory::Line& line);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -59,6 +59,32 @@
     CHECK(play.count("rate_limit", 1) == 1);
 }
 
+TEST_CASE("whether a shot that waited for its connection may still begin is decided when that comes up") {
+    // Product 1 is deduplicated, with a window of 2 s; its first shot is reset, the second waits.
+    struct Case { const char* what; uint32_t product; double waits; State state; bool may; };
+    const auto c = GENERATE(Case{"nothing has changed", 0, 0.1, State::ready, true},
+                            Case{"its server drains", 0, 0.1, State::draining, false},
+                            Case{"its server is gone", 2, 0.1, State::gone, false},
+                            Case{"in its window", 1, 1.5, State::ready, true}, Case{"its window is over", 1, 2, State::ready, false},
+                            Case{"a first shot has no window", 2, 3, State::ready, true});
+    INFO(c.what);
+    Play play;
+    CHECK_FALSE(play.balancer->may_begin(play.now, 1, 0));   // nobody knows of it
+    play.call(1, c.product);
+    int shot = 0;
+    if (c.product == 1) {
+        play.end(1, Outcome::reset);
+        shot = 1;
+    }
+    const auto server = play.last_send(1);
+    play.now = play.now + Span{c.waits};
+    play.list({{server, c.state}});
+    CHECK(play.balancer->may_begin(play.now, 1, shot) == c.may);
+    CHECK_FALSE(play.balancer->may_begin(play.now, 1, shot + 1));   // not out
+    play.balancer->client_left(play.now, 1);
+    CHECK_FALSE(play.balancer->may_begin(play.now, 1, shot));
+}
+
 TEST_CASE("a deduplicated call that may have run stays in its group and its window") {
     struct Case { const char* scope; double wait; bool again; };
     const auto c = GENERATE(Case{"zone", 0.1, true}, Case{"cell", 0.1, true}, Case{"zone", 2.5, false},
