A client that leaves is seen behind unread bytes; hang-ups go first in a round

Cause: nothing asked poll for POLLRDHUP. With a client's ring full (40 KB behind a call), its end lay behind bytes that are never read, and the call's shot went on to its end. And a round handled connections by their place: where a server's line was older than the client, its failed answer led to a further shot before the same round's hang-up. Change: clients and lines ask for POLLRDHUP; where nothing more is read it counts as their end; what has hung up is handled first in each round. The rig's relays, which pass on what lies before an end, don't ask. The lab tells it too.

--- a/src/lab/virtual_home.cpp
+++ b/src/lab/virtual_home.cpp
@@ -60,10 +60,11 @@
 short VirtualHome::state_of(const Socket& s) const {
     if (s.state == State::listening) return s.waiting.empty() ? 0 : POLLIN;
     if (s.state == State::connecting) return 0;
-    if (s.state == State::over) return POLLIN | POLLOUT | POLLHUP | (s.error ? POLLERR : 0);
+    if (s.state == State::over) return POLLIN | POLLOUT | POLLRDHUP | POLLHUP | (s.error ? POLLERR : 0);
     short events = 0;
     if (!s.in.empty() || s.fin_in) events |= POLLIN;
     if (net_.room(s) > 0) events |= POLLOUT;
+    if (s.fin_in) events |= POLLRDHUP;
     if (s.fin_in && s.fin_out) events |= POLLHUP;
     return events;
 }
--- a/src/memory/connection.hpp
+++ b/src/memory/connection.hpp
@@ -59,6 +59,7 @@
     bool ended = false;        // the other end sends no more
     int error = 0;             // it broke behind what is in `in`
     bool deaf = false;         // no more is read of it
+    bool hears_leaving = false;   // that the other end has gone counts at once, even behind bytes that are not read
     bool open() const { return fd >= 0; }
 };
 
--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -34,7 +34,9 @@
 struct Clients::Client : Connection {
     Client(Owner& by, int fd, const Settings& settings)
         : Connection(by, fd, most_in, most_out), reader(settings),
-          http(wire::HttpMachine::Side::ask, reader) {}
+          http(wire::HttpMachine::Side::ask, reader) {
+        hears_leaving = true;   // its call is for nobody then
+    }
     std::string name() const override { return "client"; }
     wire::AskReader reader;
     wire::HttpMachine http;
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -1,5 +1,6 @@
 #include "run/loop.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <cmath>
 
@@ -18,7 +19,7 @@
 }
 
 void Loop::look_again(Connection& c) {
-    short events = 0;
+    short events = c.hears_leaving && !c.connecting && !c.ended ? POLLRDHUP : 0;
     if (!c.connecting && !c.ended && !c.deaf && !c.in.full()) events |= POLLIN;
     if (c.connecting || !c.out.empty()) events |= POLLOUT;
     polled_[c.slot].events = events;
@@ -101,8 +102,12 @@
     if (!c.open()) return;
     if (c.listens) return c.owner->came(c);
     if (what & POLLIN) return read(c);
-    if (what & (POLLERR | POLLHUP | POLLNVAL)) c.owner->broke(c, ECONNRESET);
-    else look_again(c);
+    if (what & (POLLERR | POLLHUP | POLLNVAL)) return c.owner->broke(c, ECONNRESET);
+    if (what & POLLRDHUP) {   // behind bytes that have no room
+        c.ended = true;
+        c.owner->came(c);
+    }
+    if (c.open()) look_again(c);
 }
 
 int Loop::pause() const {
@@ -122,6 +127,9 @@
     if (n > 0)
         for (size_t i = 0; i < polled_.size(); ++i)
             if (polled_[i].revents) ready_.emplace_back(connections_[i].get(), polled_[i].revents);
+    // Guards against work for a client that has gone, or on a connection that has ended, in the same round.
+    const auto gone = [](const auto& r) { return (r.second & (POLLRDHUP | POLLHUP | POLLERR)) != 0; };
+    std::stable_partition(ready_.begin(), ready_.end(), gone);
     for (auto& [c, what] : ready_) {
         if (c->open()) ready(*c, what);
         settle();
--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -13,6 +13,7 @@
 Line::Line(Owner& by, int fd, Server& to)
     : Connection(by, fd, most_in, most_out), server(&to), http(wire::HttpMachine::Side::answer, reader) {
     ++to.lines;
+    hears_leaving = true;   // no call goes out on it then
 }
 
 }  // namespace myrtleroute::memory
