At its stop the proxy takes all that waits, gives last answers time, parts with resting clients

Cause, by reading and then forced on loopback: (1) Clients::last_ones accepted 32 connections at most and closed the listener over the others: of 100 that waited 36 were reset unanswered. (2) A call that came while it stopped was told and given its client's whole 5 s, beyond the process's 3.6 s; the decisions never answered it (502 at the end, not 429). (3) last_answers wrote and closed in one step, and Clients::rest dropped the ring without polling again, so a close over 24 KB unread reset the connection under its answer. (4) An idle connection was looked at and then closed at once; a call sent on it from then on met a reset. Change: the listener goes once its queue is empty; calls taken from SIGTERM on have the process's time at most; last answers go out 0.25 s before the end, their shots are called off, and what still comes is read and dropped; a resting connection has our side ended first and nothing more is read of it, then it is closed (so the call is sent again). accept4's sockets get TCP_NODELAY by our own word.

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -59,9 +59,10 @@
     return true;
 }
 
-// With no descriptor left, idle connections go first; without any, new ones wait in the system's queue.
+// With no descriptor left, idle connections go first; without any, new ones wait in the system's queue. Guards, when
+// it stops, against closing the listener over connections that wait in that queue: their calls would be lost.
 void Clients::accept() {
-    for (int n = 0; n < accepts_a_round; ++n) {
+    for (int n = 0; n < accepts_a_round || stopping_; ++n) {
         bool room = s_.loop.connections() < s_.most_connections();
         if (open_ >= s_.most_clients()) room = shed();
         else if (!room) room = make_room_();
@@ -79,6 +80,8 @@
         if (!room) {
             s_.loop.listen_to(*listener_, false);
             s_.loop.set(*listener_, s_.loop.now() + accept_again);
+        } else if (stopping_) {
+            s_.loop.end(*std::exchange(listener_, nullptr), Why::stopping);
         }
         return;
     }
@@ -132,7 +135,8 @@
     s_.counters.add(Count::calls_taken);
     // Our answer has to be with the client before it gives up, so a little of its patience is kept back.
     const Span patience = call.ask.patience;
-    const Span ours = patience - std::min(s_.settings().grace_to_answer, patience * 0.1);
+    const Span theirs = patience - std::min(s_.settings().grace_to_answer, patience * 0.1);
+    const Span ours = std::min(theirs, answer_by_ - s_.loop.now());
     const auto id = call.id;
     s_.balancer->call_arrived(s_.loop.now(), id, static_cast<uint32_t>(call.ask.product), call.ask.tenant, ours,
                               call.ask.work, call.ask.key, false);
@@ -177,6 +181,7 @@
         s_.home.end_sending(c.fd);
         c.lingers = true;
         c.in.drop(c.in.size());
+        s_.loop.flush(c);   // the rest of what is dropped has room now
         s_.loop.set(c, c.since + (stopping_ ? linger * 0.2 : linger));
     } else {
         s_.loop.set(c, c.since + idle_after);
@@ -186,6 +191,16 @@
     c.place = c.among->insert(c.among->end(), &c);
 }
 
+// Guards against a close over a call that has just come, which would reset the connection and might take our last
+// answer with it: our side ends first. What comes from then on is not even read, so that the client may send it
+// again on another connection.
+void Clients::part(Client& c, Why why) {
+    leave(c);
+    c.last = c.deaf = true;
+    c.why = why;
+    rest(c);
+}
+
 void Clients::leave(Client& c) {
     if (c.among) std::exchange(c.among, nullptr)->erase(c.place);
 }
@@ -222,7 +237,7 @@
     }
     auto& c = static_cast<Client&>(connection);
     if (c.lingers) return end(c, c.why);
-    if (c.among && s_.home.still_quiet(c.fd)) return end(c, stopping_ ? Why::stopping : Why::idle);
+    if (c.among && s_.home.still_quiet(c.fd)) return part(c, stopping_ ? Why::stopping : Why::idle);
     if (c.among) return s_.loop.set(c, s_.loop.now() + settles);   // what has come is read in a moment
     if (!c.out.empty()) return end(c, Why::unread);
     refuse(c, 408);
@@ -264,8 +279,6 @@
 void Clients::last_ones() {
     stopping_ = true;
     accept();
-    s_.loop.end(*listener_, Why::stopping);
-    listener_ = nullptr;
     // One used lately may have a call on its way; that is still answered, and ends the connection.
     auto quiet = idle_;
     quiet.insert(quiet.end(), silent_.begin(), silent_.end());
@@ -274,4 +287,9 @@
         else due(*c);
 }
 
+void Clients::part_with_all() {
+    for (auto* among : {&idle_, &silent_})
+        for (auto quiet = *among; auto* c : quiet) part(*c, Why::stopping);
+}
+
 }  // namespace myrtleroute::run
--- a/src/run/clients.hpp
+++ b/src/run/clients.hpp
@@ -1,5 +1,6 @@
 // The application's side: takes API calls from connections and gives each its one answer.
 #pragma once
+#include <cmath>
 #include <deque>
 #include <functional>
 #include <list>
@@ -17,8 +18,10 @@
     void give(memory::Held& call, int status, std::string_view body, std::string_view fields = {});
     bool shed();                                     // ends a connection that can go, if there is one
     void settle();                                   // goes on with calls that wait behind an answer
-    void last_ones();                                // takes what has come, listens no more, ends idle ones
-    bool over() const { return open_ == 0; }
+    void answer_by(Time last) { answer_by_ = last; } // whatever time a call has
+    void last_ones();                                // takes what has come, listens no more, parts with idle ones
+    void part_with_all();                            // that have no call out
+    bool over() const { return open_ == 0 && !listener_; }
     void on_full(std::function<bool()> make_room) { make_room_ = std::move(make_room); }
 
     void came(memory::Connection& c) override;
@@ -35,6 +38,7 @@
     void say(Client& c, int status, std::string_view body, std::string_view fields = {});
     void refuse(Client& c, int status);
     void rest(Client& c);
+    void part(Client& c, memory::Why why);
     void leave(Client& c);
     void wait(Client& c);
     void end(Client& c, memory::Why why);
@@ -45,6 +49,7 @@
     std::deque<Client*> waiting_;
     std::function<bool()> make_room_;
     size_t open_ = 0;
+    Time answer_by_{HUGE_VAL};
     bool ready_ = false, stopping_ = false;
 };
 
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -101,7 +101,7 @@
     }
     if (!c.open()) return;
     if (c.listens) return c.owner->came(c);
-    if (what & POLLIN) return read(c);
+    if ((what & POLLIN) && !c.deaf) return read(c);
     if (what & (POLLERR | POLLHUP | POLLNVAL)) return c.owner->broke(c, ECONNRESET);
     if (what & POLLRDHUP) {   // behind bytes that have no room
         c.ended = true;
--- a/src/run/posix_home.cpp
+++ b/src/run/posix_home.cpp
@@ -31,10 +31,15 @@
     return std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
 }
 
+// Guards against the end of an answer held back by the system, and lost where a reset comes next.
+void write_at_once(int fd) {
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 int socket_of_ours() {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    if (fd >= 0) ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    if (fd >= 0) write_at_once(fd);
     return fd;
 }
 
@@ -70,7 +75,11 @@
     return done == 0 || errno == EINPROGRESS || errno == EALREADY ? fd : given_up(fd);
 }
 
-int PosixHome::accept(int fd) { return ::accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); }
+int PosixHome::accept(int fd) {
+    const int fresh = ::accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fresh >= 0) write_at_once(fresh);   // Linux hands it on from the listener, POSIX does not say so
+    return fresh;
+}
 
 int PosixHome::error_of(int fd) {
     int error = 0;
--- a/src/run/proxy.cpp
+++ b/src/run/proxy.cpp
@@ -15,6 +15,7 @@
 // At a planned restart new connections go on coming for up to 0.4 s, and the end comes no sooner than the
 // longest client timeout, 3 s at most, and 0.7 s more.
 constexpr Span clients_come{0.5}, most_timeout{3}, beyond_timeout{0.6};
+constexpr Span last_words{0.25};   // for the last answers to be read, before the end
 
 struct Signals : memory::Connection {
     Signals(memory::Owner& by, int fd) : Connection(by, fd, 1, 1) { listens = true; }
@@ -50,8 +51,8 @@
 bool Proxy::round() {
     if (watcher_.has_list()) clients_.ready();
     s_.loop.round([this](uint64_t cookie) { s_.balancer->woke(s_.loop.now(), cookie); }, [this] { settle(); });
-    if (phase_ < closed || (phase_ == closed && !clients_.over())) return true;
-    last_answers();
+    if (phase_ < closed || (phase_ < over && !clients_.over())) return true;
+    s_.loop.end_all(memory::Why::stopping);
     s_.log.info() << s_.config.name << " ends: " << counts();
     return false;
 }
@@ -83,6 +84,8 @@
             for (const auto& p : s_.settings().products) longest = std::max(longest, p.client_timeout);
             phase_ = stopping;
             end_at_ = s_.loop.now() + std::min(longest, most_timeout) + beyond_timeout;
+            // Guards against calls that come while it stops and have more time than it has.
+            clients_.answer_by(end_at_ - last_words);
             s_.loop.set(*signals_, s_.loop.now() + clients_come);
         }
     }
@@ -110,13 +113,17 @@
 }
 
 void Proxy::due(memory::Connection&) {
-    if (phase_ == closed) {
+    if (phase_ == stopping) {
+        phase_ = closed;
+        clients_.last_ones();
+        s_.loop.set(*signals_, end_at_ - last_words);
+    } else if (phase_ == closed) {
+        phase_ = answered;
+        last_answers();
+        s_.loop.set(*signals_, end_at_);
+    } else {
         phase_ = over;
-        return;
     }
-    phase_ = closed;
-    clients_.last_ones();
-    s_.loop.set(*signals_, end_at_);
 }
 
 void Proxy::settle() {
@@ -127,12 +134,15 @@
     } while (!servers_.settled());
 }
 
-// What can't be waited for any longer gets its answer all the same.
+// What can't be waited for any longer gets its answer all the same, in time for it to be read.
 void Proxy::last_answers() {
     s_.calls.each([this](memory::Held& call) {
-        if (call.client) error(call.id);
+        if (!call.client) return;
+        error(call.id);
+        s_.balancer->client_left(s_.loop.now(), call.id);   // it has its answer: nothing more is sent for it
+        s_.calls.forget_if_over(call);
     });
-    s_.loop.end_all(memory::Why::stopping);
+    clients_.part_with_all();
 }
 
 void Proxy::send(CallId id, ServerId server, Span try_for) {
--- a/src/run/proxy.hpp
+++ b/src/run/proxy.hpp
@@ -40,7 +40,7 @@
     Servers servers_;
     Watcher watcher_;
     memory::Connection* signals_ = nullptr;
-    enum { serving, stopping, closed, over } phase_ = serving;
+    enum { serving, stopping, closed, answered, over } phase_ = serving;
     Time end_at_;
 };
 
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -75,6 +75,11 @@
         if (n > 0) held_.append(bytes, static_cast<size_t>(n));
         return n > 0;
     }
+    // Whether a reset has come, also after the other end sent its end.
+    bool breaks(double within) {
+        pollfd p{fd_, 0, 0};
+        return ::poll(&p, 1, static_cast<int>(within * 1000)) == 1 && (p.revents & (POLLERR | POLLHUP));
+    }
     bool ends(double within = soon) {
         while (more(within)) {}
         return ready(0);
