What hangs leaves its room to others also where its server answers probes or it was given up

Fleet::silent asked for a shot out and for a server not heard of; a host that hangs answers probes, and a shot given up is a ghost for 5 s, no shot out. So each hung call filled the common room for its 3 to 6 s and then as a ghost, which brought the rate down, and the room with it. Ruled out: connections that come up late (probed apart), quarantine (rightly none: probes are answered). Change: silent() goes by calls alone (last_answer) and counts ghosts from when they were sent. Could do harm where a server is slow rather than hung: there it is what `crowd` weighs, as before.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -411,7 +411,7 @@
         });
         if (forgotten > 0) refill();
     }
-    void heard(Server& s) { s.last_heard = last_heard_ = desk_.now; }
+    void heard(Server& s) { s.last_answer = s.last_heard = last_heard_ = desk_.now; }
     void blame(Server& s, bool penalise = true) {
         s.record.add(desk_.now, failed);
         if (penalise) s.penalty_until = desk_.now + penalty;
@@ -500,9 +500,11 @@
         const Time by = std::min(s.answered_sent, desk_.now - std::max(least_slo_ * most_wait, mean * 3));
         return s.held() - std::ranges::count_if(s.open, [by](auto* shot) { return shot->sent <= by; });
     }
+    // To calls, also those given up: one that hangs may well answer probes.
     bool silent(const Server& s) const {
-        return !s.open.empty() && s.last_heard < s.open[0]->sent &&
-               desk_.now - s.open[0]->sent > least_slo_ * most_wait;
+        Time first = s.open.empty() ? desk_.now : s.open[0]->sent;
+        if (!s.ghosts.empty()) first = std::min(first, s.ghosts[0].sent);
+        return s.last_answer < first && desk_.now - first > least_slo_ * most_wait;
     }
     bool has_room(Server& s) {
         const auto& side = side_of(s);
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -111,7 +111,8 @@
     double credit = 0;             // of a cold one: a call may go there when it reaches 1
     Time penalty_until = long_ago;
     std::vector<Time> full_until;  // by product, after it turned one away
-    Time last_heard = long_ago;
+    Time last_heard = long_ago;    // also of probes
+    Time last_answer = long_ago;   // of a call, whichever
     Time answered_sent = long_ago; // when the latest-sent of its answered shots was sent
     Time next_probe = long_ago;    // of a quarantined one
     int named = 0;                 // by shots of calls that are still held
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -868,6 +868,34 @@
     }
 }
 
+TEST_CASE("calls that hang at servers that answer probes, and those given up there, leave room for the others") {
+    // 50 calls a second for 12 s; servers up to `hang` never answer one, the others do after 0.15 s.
+    struct Case { ServerId hang; int most_refused; };
+    const auto c = GENERATE(Case{6, 100}, Case{8, 200});
+    Play play("Balancers=12\nProducts.0.LatencySloS=0.6", 12);
+    play.answer_some(60, 0.15);
+    std::multimap<double, Done> ends;
+    std::map<CallId, int> shots;
+    int refused = 0;
+    size_t seen = play.done.size();
+    for (CallId id = 1; id <= 600; ++id) {
+        play.pass(0.02);
+        for (; !ends.empty() && ends.begin()->first <= play.now.s; ends.erase(ends.begin())) {
+            const auto shot = ends.begin()->second;
+            play.end(shot.call, shot.server <= c.hang ? Outcome::timed_out : Outcome::fulfilled, shot.shot);
+        }
+        refused += play.call(id, 0, 3) == 0;
+        for (; seen < play.done.size(); ++seen) {
+            auto d = play.done[seen];
+            if (d.what == "probe") play.balancer->probed(play.now, d.server, true);
+            if (d.what != "send") continue;
+            d.shot = shots[d.call]++;
+            ends.emplace(play.now.s + (d.server <= c.hang ? 2.95 : 0.15), d);
+        }
+    }
+    CHECK(refused < c.most_refused);
+}
+
 TEST_CASE("the list is asked for again before what it has counts as told, however seldom it has to be asked for") {
     Play play("Discovery=on_request\nGuarantees.AskWithinS=40", 6);
     for (int failures = 1; failures <= 6; ++failures) {
