A call written slowly on a connection that had rested is not cut off

Cause: Clients::read gave a call until 2.8 s after the last answer, however late it began: one begun after 1.9 s of rest had 0.9 s to be written. Ruled out: strangers, who are owed an answer or a close within 3 s of connecting; that clock stays. Change: on a connection that has carried a call before, the 2.8 s count from the next call's first byte. Test: client_test.cpp; on the program before "408 == 200".

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -17,7 +17,7 @@
 constexpr int accepts_a_round = 32;
 // Whoever connects is owed an answer or a close within 3 s. From connecting or from the last answer on:
 constexpr Span idle_after{2};     // with no call begun, it is closed
-constexpr Span whole_within{2.8}; // a call begun is whole, however its bytes trickle
+constexpr Span whole_within{2.8}; // a call begun is whole, however its bytes trickle; of later ones, from their begin on
 constexpr Span read_within{5};    // an answer is read, once written
 constexpr Span linger{1};         // for the other end to close after our last answer
 constexpr size_t most_dropped = 4 * wire::most_body;   // of what it still sends; the rest is not even read
@@ -102,7 +102,8 @@
     // One call at a time, and no answer is given before the last one is written.
     while (c.open() && !c.call && !c.last && c.out.empty() && !c.in.empty()) {
         leave(c);
-        if (!c.http.begun()) s_.loop.set(c, c.since + whole_within);
+        // Guards against sound calls cut off that are written slowly on a connection that had rested before.
+        if (!c.http.begun()) s_.loop.set(c, (c.asked ? s_.loop.now() : c.since) + whole_within);
         c.in.drop(c.http.feed(c.in.front()));
         if (c.http.fault()) {
             refuse(c, c.http.fault());
--- a/tests/client_test.cpp
+++ b/tests/client_test.cpp
@@ -52,3 +52,21 @@
     CHECK(w.logs(resets ? "client ended: peer_reset" : "client ended: peer_closed"));
     CHECK_FALSE(w.servers[0].called(0.2));
 }
+
+TEST_CASE("a call that is written slowly on a connection that has rested gets its answer") {
+    World w;
+    auto client = w.client();
+    client.send(request("book"));
+    auto server = w.servers[0].accept();
+    server.message();
+    server.send(answer("x"));
+    CHECK(status(client.message()) == 200);
+    const auto text = request("book", "slowly");
+    wait(1.5);
+    client.send(text.substr(0, 20));
+    wait(1.6);   // 3.1 s after the last answer, 1.6 s after its own begin
+    client.send(text.substr(20));
+    server.message();
+    server.send(answer("y"));
+    CHECK(status(client.message()) == 200);
+}
