A connection parted with at rest is closed after a fifth of a second, not a second

Clients::part held a resting connection for the linger of 1 s; clients that ask once and keep what they don't use never close it, so that the application held half as much again of what it may. Change: Clients::rest lingers a fifth of that where nothing more is read anyway, as at a stop.

--- a/src/run/clients.cpp
+++ b/src/run/clients.cpp
@@ -183,7 +183,8 @@
         c.lingers = true;
         c.in.drop(c.in.size());
         s_.loop.flush(c);   // the rest of what is dropped has room now
-        s_.loop.set(c, c.since + (stopping_ ? linger * 0.2 : linger));
+        // One parted with while it rested owes nobody a read; clients that keep what they don't use hold it open.
+        s_.loop.set(c, c.since + (stopping_ || c.deaf ? linger * 0.2 : linger));
     } else {
         s_.loop.set(c, c.since + idle_after);
     }
