--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -121,7 +121,8 @@
     }
     // Asks again with growing, random waits that spare the list service, but in time for drains.
     void list_failed() {
-        const Span wait = std::min(desk_.set.ask_within, most_untold) * (std::min(16, 1 << asked_again_) / 40.0);
+        const Span most = std::min(desk_.set.ask_within, most_untold);
+        const Span wait = most * (std::min(16, 1 << asked_again_) / 40.0);
         asked_again_ = std::min(4, asked_again_ + 1);
         desk_.out.wake(wait * (0.5 + desk_.chance.share() / 2), list_cookie);
     }
