A line that waits for its connection is told by connecting alone

Cause: read once more, Line::waits held just what Connection::connecting says until Owner::up; a state kept twice. Change: waits is gone; dispatch and cancel look at connecting. Behaviour as before.

--- a/src/run/servers.cpp
+++ b/src/run/servers.cpp
@@ -97,19 +97,16 @@
     line.sent = s_.loop.now();
     line.begun = false;
     line.until = line.sent + try_for;
-    line.waits = line.connecting;
     const auto up_by = line.sent + s_.settings().connect_timeout;
-    s_.loop.set(line, line.waits ? std::min(line.until, up_by) : line.until);
-    if (!line.waits) write(line);
+    s_.loop.set(line, line.connecting ? std::min(line.until, up_by) : line.until);
+    if (!line.connecting) write(line);
 }
 
 // Guards against what changed while the connection was coming up: the server may drain by now, a window may be over,
 // and less time is left than when the call was handed over.
 void Servers::up(Connection& connection) {
     auto& line = static_cast<Line&>(connection);
-    line.waits = false;
-    const bool late = s_.loop.now() >= line.until;
-    if (late) return timed_out(line, Outcome::connect_failed, Why::connect_timed_out);
+    if (s_.loop.now() >= line.until) return timed_out(line, Outcome::connect_failed, Why::connect_timed_out);
     if (line.call && !s_.balancer->may_begin(s_.loop.now(), line.call->id, line.shot))
         return ends(line, Outcome::never_sent, Why::server_left);
     s_.loop.set(line, line.until);
@@ -136,7 +133,7 @@
     if (shot < 0 || shot >= static_cast<int>(call.shots.size()) || !call.shots[shot]) return;
     auto& line = static_cast<Line&>(*call.shots[shot]);
     // What no byte of has gone out provably never ran.
-    const auto outcome = line.waits ? Outcome::never_sent : Outcome::cancelled;
+    const auto outcome = line.connecting ? Outcome::never_sent : Outcome::cancelled;
     call.shots[shot] = nullptr;
     line.call = nullptr;
     s_.loop.end(line, Why::cancelled);
--- a/src/run/servers.hpp
+++ b/src/run/servers.hpp
@@ -22,7 +22,6 @@
     int shot = 0;
     bool probes = false;
     Time sent, until;            // what it carries, and when that is given up
-    bool waits = false;          // it is written once the connection is up
     bool begun = false;          // its answer has
     Time answered = long_ago;    // its last whole one
     bool idle = false;           // in both lists, at its places
