Contact with a majority before a node serves; drains on a majority's disks before they are acknowledged

Cause, from a reading of the code: a control node without a quorum told a new subscription what it knew, so a proxy that started beside a node that was cut off began with an old configuration; a frozen node took old messages in its sockets for contact; a drain that a majority knew of lay in memory, written once a second, and was acknowledged from memory ever after; a voter whose machine was back with an empty disk was dropped only after two seconds of silence, which an election set back; a replica that only asked whether it could be elected refused its vote. Change: barriers at followers by way of the leader (ReadRequest, ReadReply), and a subscription is begun behind one, with the hosts that a majority of the voters has told of; contact rests on answers to messages; a node out of touch takes a heartbeat and answers 503; drains and ends are written before they are confirmed, also those that are gone; a replaced voter is dropped at once; a pre-candidate votes. The replica's file is split by concern; two unused fields are gone. The test on drains now wants 503 for a heartbeat at a node without a majority (200 before): what it tested stands.

--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -6,8 +6,13 @@
 // it whole, so an entry makes all earlier ones superfluous. The log is its last entry; sending an entry is installing
 // a snapshot. docs/system.md tells why that is safe.
 //
+// What it says of its contact with a majority rests on answers to messages, never on the arrival of messages alone: a
+// process that was frozen finds old ones in its sockets. replica.cpp holds elections, replication.cpp the log and
+// barriers, membership.cpp the voters and the transfer of leadership.
+//
 // The caller hands in messages, ticks and the ends of writes, and carries out what `take_outputs` returns, in order.
 #pragma once
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -53,13 +58,19 @@
     Position position;
 };
 
-// The barrier of that number holds: this replica led when the barrier was asked for, and the state it then had is
-// committed.
+// The barrier of that number holds: after it was asked for, a majority has confirmed who leads, and everything that was
+// committed when it was asked for is committed here.
 struct BarrierPassed {
     uint64_t number = 0;
+    uint64_t index = 0;   // at or behind which all of that lies
 };
 
-// This replica leads, or no longer does. Proposals and barriers that were open are void.
+// What a barrier waits for, beside the confirmation: that what was committed then is known here, or that the last entry
+// of then is committed too (at the leader only).
+enum class BarrierAt { committed, last };
+
+// This replica leads, or no longer does. Proposals and barriers that were open are void. A barrier of a follower is
+// void without a word when its leader changes; the caller asks for another one after a time.
 struct LeadershipChanged {
     bool leads = false;
 };
@@ -83,7 +94,8 @@
 
     // The leader's: makes the state the next entry. Nothing where this replica does not lead.
     std::optional<Position> propose(ClusterState state, Time now);
-    std::optional<uint64_t> barrier(Time now);
+    // At the leader or, by way of the leader, at any other replica. Nothing where no leader is known.
+    std::optional<uint64_t> barrier(BarrierAt at, Time now);
     void transfer_leadership(Time now);   // to the most current voter, where this replica leads
 
     std::vector<Output> take_outputs() { return std::exchange(outputs_, {}); }
@@ -94,15 +106,19 @@
     const std::optional<Entry>& entry() const { return entry_; }
     uint64_t committed() const { return committed_; }   // index; 0 = none known
     std::optional<ReplicaId> leader() const { return leader_; }
-    // Whether this replica has lately been in touch with a leader that has a quorum, or is one.
+    // Whether this replica has lately been in touch with a leader that has a quorum, or is one. A leader rests on
+    // answers of a majority to rounds that it sent within `least_election_timeout`; a follower on the leader's word,
+    // within that time, that it has had the follower's answer. So it is proof of a majority twice that old at the most.
     bool is_current(Time now) const;
+    // Whether this replica's disk may be lost without loss: every voter that answers the leader has its last entry.
+    bool is_copied() const;
     bool is_voter(const ReplicaId& id) const;
 
 private:
     struct Peer {
         bool may_vote = false;
         Time met = long_ago;     // last proof that it can be reached
-        Time heard = long_ago;   // last reply to this leader
+        Time heard = long_ago;   // when the newest round that it has answered was sent by this leader
         Position held;           // on its disk, as far as known
         Position sent;           // last entry sent with its state
         Time sent_at = long_ago;
@@ -110,6 +126,15 @@
     };
     struct Barrier {
         uint64_t number, round, index;
+        std::optional<ReplicaId> asker;   // a follower's; else this replica's own
+    };
+    struct FollowerBarrier {
+        uint64_t number;
+        std::optional<uint64_t> index;   // once the leader has told it
+    };
+    struct Round {
+        uint64_t number;
+        Time at;
     };
 
     void on(const ReplicaId& from, const VoteRequest& request, Time now);
@@ -117,6 +142,8 @@
     void on(const ReplicaId& from, const Append& append, Time now);
     void on(const ReplicaId& from, const AppendReply& reply, Time now);
     void on(const ReplicaId& from, const TransferLeadership& transfer, Time now);
+    void on(const ReplicaId& from, const ReadRequest& request, Time now);
+    void on(const ReplicaId& from, const ReadReply& reply, Time now);
 
     void send(const ReplicaId& to, Message message);
     void follow(uint64_t term, std::optional<ReplicaId> leader, Time now);
@@ -124,6 +151,7 @@
     void lead(Time now);
     void heartbeat(Time now);
     void append_to(const ReplicaId& to, Peer& peer, Time now);
+    Append append_for(const Peer& peer) const;
     void adopt(Entry entry);
     void advance_commit();
     void commit(uint64_t index);
@@ -131,6 +159,10 @@
     void check_quorum(Time now);
     void change_voters(Time now);
     bool has_quorum(const std::set<ReplicaId>& of) const;
+    bool has_quorum_at(Time now) const;   // of voters that have answered lately
+    bool is_everywhere() const;
+    bool is_replaced(const ReplicaId& voter, Time now) const;
+    static void note_round(std::deque<Round>& rounds, uint64_t number, Time at);
     std::optional<ReplicaId> voter_to_remove(Time now) const;
     std::optional<ReplicaId> voter_to_add(Time now) const;
     void reset_election_timer(Time now);
@@ -155,11 +187,15 @@
     std::set<ReplicaId> granted_;
     std::map<ReplicaId, Peer> peers_;
     uint64_t committed_ = 0;
-    uint64_t own_term_index_ = 0;         // first entry of the leader's term
-    uint64_t voters_changed_index_ = 0;   // entry of the last change of voters
+    uint64_t own_term_index_ = 0;   // first entry of the leader's term
     uint64_t round_ = 0;
+    std::deque<Round> rounds_;   // sent as the leader, the newest last
     std::vector<Barrier> barriers_;
+    std::vector<FollowerBarrier> follower_barriers_;
     uint64_t next_barrier_ = 1;
+    std::deque<Round> answered_;   // rounds of the leader that were answered from here
+    Time contact_ = long_ago;      // when the last answer was given that the leader is known to have had
+    bool copied_ = false;          // by the leader's last word
 
     // Writes under way. Replies and votes wait until what they promise is on disk.
     struct Pending {
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -74,11 +74,12 @@
 // Heartbeat of a leader, with its last entry where the follower lacks it.
 struct Append {
     uint64_t term = 0;
-    uint64_t round = 0;                      // of this leader, rises with each
-    Position last;                           // of the leader's log
-    uint64_t commit = 0;                     // index up to which entries are committed
-    std::optional<ClusterState> state;       // of the entry at `last`
-    std::optional<Position> same_state_as;   // the entry at `last` repeats the state of the entry at this position
+    uint64_t round = 0;                  // of this leader, rises with each
+    Position last;                       // of the leader's log
+    uint64_t commit = 0;                 // index up to which entries are committed
+    bool everywhere = false;             // every voter that answers has the entry at `last` on disk
+    uint64_t answered = 0;               // the newest round that the receiver has answered
+    std::optional<ClusterState> state;   // of the entry at `last`
     bool operator==(const Append&) const = default;
 };
 
@@ -95,6 +96,21 @@
     bool operator==(const TransferLeadership&) const = default;
 };
 
-using Message = std::variant<VoteRequest, VoteReply, Append, AppendReply, TransferLeadership>;
+// Asks the leader how far the log was committed when it was asked (the dissertation's 6.4, for followers).
+struct ReadRequest {
+    uint64_t term = 0;     // of the leader that is meant
+    uint64_t number = 0;   // of the sender's barrier
+    bool operator==(const ReadRequest&) const = default;
+};
+
+// A majority has confirmed, after it was asked, that the sender leads.
+struct ReadReply {
+    uint64_t term = 0;
+    uint64_t number = 0;
+    uint64_t index = 0;   // what was committed by then lies at or before it
+    bool operator==(const ReadReply&) const = default;
+};
+
+using Message = std::variant<VoteRequest, VoteReply, Append, AppendReply, TransferLeadership, ReadRequest, ReadReply>;
 
 }   // namespace myrtleroute::consensus
--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -52,15 +52,15 @@
     j.at("trial").get_to(m.trial), j.at("term").get_to(m.term), j.at("granted").get_to(m.granted);
 }
 void to_json(Json& j, const Append& m) {
-    j = {{"term", m.term}, {"round", m.round}, {"last", m.last}, {"commit", m.commit}};
+    j = {{"term", m.term},     {"round", m.round},           {"last", m.last},
+         {"commit", m.commit}, {"everywhere", m.everywhere}, {"answered", m.answered}};
     if (m.state) j["state"] = *m.state;
-    if (m.same_state_as) j["same_state_as"] = *m.same_state_as;
 }
 void from_json(const Json& j, Append& m) {
     j.at("term").get_to(m.term), j.at("round").get_to(m.round);
     j.at("last").get_to(m.last), j.at("commit").get_to(m.commit);
+    j.at("everywhere").get_to(m.everywhere), j.at("answered").get_to(m.answered);
     if (j.contains("state")) m.state = j.at("state").get<ClusterState>();
-    if (j.contains("same_state_as")) m.same_state_as = j.at("same_state_as").get<Position>();
 }
 void to_json(Json& j, const AppendReply& m) { j = {{"term", m.term}, {"round", m.round}, {"held", m.held}}; }
 void from_json(const Json& j, AppendReply& m) {
@@ -68,6 +68,12 @@
 }
 void to_json(Json& j, const TransferLeadership& m) { j = {{"term", m.term}}; }
 void from_json(const Json& j, TransferLeadership& m) { j.at("term").get_to(m.term); }
+void to_json(Json& j, const ReadRequest& m) { j = {{"term", m.term}, {"number", m.number}}; }
+void from_json(const Json& j, ReadRequest& m) { j.at("term").get_to(m.term), j.at("number").get_to(m.number); }
+void to_json(Json& j, const ReadReply& m) { j = {{"term", m.term}, {"number", m.number}, {"index", m.index}}; }
+void from_json(const Json& j, ReadReply& m) {
+    j.at("term").get_to(m.term), j.at("number").get_to(m.number), j.at("index").get_to(m.index);
+}
 
 }   // namespace consensus
 
@@ -114,6 +120,8 @@
 MYRTLEROUTE_KIND(consensus::Append, "append");
 MYRTLEROUTE_KIND(consensus::AppendReply, "appended");
 MYRTLEROUTE_KIND(consensus::TransferLeadership, "transfer");
+MYRTLEROUTE_KIND(consensus::ReadRequest, "read");
+MYRTLEROUTE_KIND(consensus::ReadReply, "read_at");
 MYRTLEROUTE_KIND(PeerHello, "hello");
 MYRTLEROUTE_KIND(ConsensusMessage, "consensus");
 MYRTLEROUTE_KIND(HostsTold, "hosts");
@@ -172,8 +180,10 @@
     if (!read) throw std::runtime_error("no consensus message");
     m.message = std::move(*read);
 }
-void to_json(Json& j, const HostsTold& m) { j = {{"hosts", m.hosts}, {"confirm", m.confirm}}; }
-void from_json(const Json& j, HostsTold& m) { j.at("hosts").get_to(m.hosts), j.at("confirm").get_to(m.confirm); }
+void to_json(Json& j, const HostsTold& m) { j = {{"hosts", m.hosts}, {"confirm", m.confirm}, {"all", m.all}}; }
+void from_json(const Json& j, HostsTold& m) {
+    j.at("hosts").get_to(m.hosts), j.at("confirm").get_to(m.confirm), j.at("all").get_to(m.all);
+}
 void to_json(Json& j, const HostsConfirmed& m) { j = {{"confirm", m.confirm}}; }
 void from_json(const Json& j, HostsConfirmed& m) { j.at("confirm").get_to(m.confirm); }
 void to_json(Json& j, const HostsHeard& m) { j = {{"sequences", m.sequences}}; }
--- a/src/messages/messages.hpp
+++ b/src/messages/messages.hpp
@@ -36,10 +36,11 @@
     consensus::Message message;
 };
 
-// Hosts that are new or have changed. Where `confirm` is not 0 the receiver tells when it has taken them.
+// Hosts that are new or have changed. Where `confirm` is not 0 the receiver tells when it has them on disk.
 struct HostsTold {
     std::vector<registry::Host> hosts;
     uint64_t confirm = 0;
+    bool all = false;   // these are all that the sender knows of
 };
 struct HostsConfirmed {
     uint64_t confirm = 0;
--- a/src/registry/host_table.hpp
+++ b/src/registry/host_table.hpp
@@ -1,7 +1,7 @@
 // The hosts as known: what they said in their heartbeats, merged from all machines that take heartbeats.
 //
-// The table is soft state: nothing of it is on disk, and it is whole again within a heartbeat or two. A host's own
-// sequence orders what is told of it, so tables merge in any order to the same result.
+// Most of it is soft state that is whole again within a heartbeat or two; drains and ends are kept on disk by the
+// control role. A host's own sequence orders what is told of it, so tables merge in any order to the same result.
 #pragma once
 #include <cstdint>
 #include <map>
--- a/src/roles/control/configuration_service.cpp
+++ b/src/roles/control/configuration_service.cpp
@@ -104,7 +104,7 @@
 
 void ConfigurationService::wait_for_barrier(Order order, Answer answer, Time now) {
     in_progress_ = InProgress{std::move(order), std::move(answer), {}, {}};
-    in_progress_->barrier = replica_.barrier(now);
+    in_progress_->barrier = replica_.barrier(consensus::BarrierAt::last, now);
     if (!in_progress_->barrier) leadership_lost();
 }
 
--- a/src/roles/control/host_service.cpp
+++ b/src/roles/control/host_service.cpp
@@ -11,8 +11,8 @@
 
 constexpr Span confirm_within{0.8};   // a host waits for its acknowledgement for a second
 constexpr Span batch_every{0.6};
-constexpr Span longest_tick{0.6};   // a longer pause was a freeze: heartbeats may have been missed
-constexpr size_t most_known = 20000;
+constexpr Span longest_tick{0.6};    // a longer pause was a freeze: heartbeats may have been missed
+constexpr size_t most_owed = 1024;   // confirmations; a node that waits in vain is told again by the host
 
 std::optional<Host> read_heartbeat(const std::string& id, const std::string& body) {
     try {
@@ -40,7 +40,8 @@
     spread_.tell_subscribers({host});
 }
 
-void HostService::heartbeat(RequestNumber request, const std::string& id, const std::string& body, Time now) {
+void HostService::heartbeat(RequestNumber request, const std::string& id, const std::string& body, bool current,
+                            Time now) {
     const auto host = read_heartbeat(id, body);
     if (!host) {
         outputs_.push_back(refusal(request, 400, "a heartbeat has service, address and sequence"));
@@ -51,7 +52,8 @@
     const Host* merged = table_.find(id);
     if (host->state == HostState::draining) return announce(request, *merged, now);
     if (changed) spread(*merged, 0);
-    acknowledge(request);
+    if (current) return acknowledge(request);
+    outputs_.push_back(refusal(request, 503, "this node is not in touch with a majority, tell another one"));
 }
 
 void HostService::leave(RequestNumber request, const std::string& id, Time now) {
@@ -64,26 +66,39 @@
 }
 
 void HostService::announce(RequestNumber request, const Host& host, Time now) {
-    const auto known = known_widely_.find(host.id);
-    if (known != known_widely_.end() && known->second >= host.state) return acknowledge(request);
     const auto number = next_confirm_++;
-    unconfirmed_[number] = {request, host.id, host.state, {}, now + confirm_within};
+    unconfirmed_[number] = {request, host.id, host.state, {}, spread_.write(), now + confirm_within};
     spread(host, number);
-    settle(number);
+    settle_written();
 }
 
-void HostService::confirmed(const Endpoint& by, uint64_t number, Time) {
+void HostService::confirmed(const consensus::ReplicaId& by, uint64_t number) {
     const auto it = unconfirmed_.find(number);
     if (it == unconfirmed_.end()) return;
     it->second.by.insert(by);
     settle(number);
 }
 
+void HostService::written(uint64_t number) {
+    written_ = std::max(written_, number);
+    settle_written();
+}
+
+// What waits for this node's own disk.
+void HostService::settle_written() {
+    std::vector<uint64_t> safe;
+    for (auto& [number, announced] : unconfirmed_)
+        if (announced.write <= written_ && announced.by.insert(self_).second) safe.push_back(number);
+    for (const auto number : safe) settle(number);
+    while (!owed_.empty() && owed_.front().write <= written_) {
+        spread_.tell(owed_.front().to, messages::HostsConfirmed{owed_.front().confirm});
+        owed_.pop_front();
+    }
+}
+
 void HostService::settle(uint64_t number) {
     const auto it = unconfirmed_.find(number);
     if (!spread_.is_majority(it->second.by)) return;
-    if (known_widely_.size() >= most_known) known_widely_.clear();
-    known_widely_[it->second.host] = it->second.state;
     acknowledge(it->second.request);
     unconfirmed_.erase(it);
 }
@@ -92,11 +107,14 @@
     for (const auto& host : hosts) table_.remember(host, now);
 }
 
-void HostService::told(const messages::HostsTold& hosts, Time now) {
+void HostService::told(const consensus::ReplicaId& by, const messages::HostsTold& hosts, Time now) {
     std::vector<Host> changed;
     for (const auto& host : hosts.hosts)
         if (table_.merge(host, now)) changed.push_back(*table_.find(host.id));
     if (!changed.empty()) spread_.tell_subscribers(changed);
+    if (!hosts.confirm || owed_.size() >= most_owed) return;
+    owed_.push_back({by, hosts.confirm, spread_.write()});
+    settle_written();
 }
 
 void HostService::heard(const messages::HostsHeard& heard, Time now) {
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr Span fleet_every{0.25}, proxies_every{0.25}, hosts_every{1};
-constexpr size_t most_known = 64;   // control nodes
+constexpr Span barrier_again{0.3};   // a barrier that has not held by then is asked for again
+constexpr size_t most_known = 64;    // control nodes
 constexpr std::string_view instances = "/instances/";
 
 }   // namespace
@@ -24,9 +25,12 @@
       hosts_(options_.hosts, outputs_,
              {[this](const messages::Message& message) { tell_all(message); },
               [this](const std::vector<registry::Host>& hosts) { tell_hosts(hosts); },
-              [this](const std::set<Endpoint>& confirmed) {
-                  return is_majority(confirmed);
-              }}) {
+              [this](const std::set<consensus::ReplicaId>& present) { return is_majority(present); },
+              [this] { return write_hosts(); },
+              [this](const consensus::ReplicaId& to, const messages::Message& message) {
+                  outputs_.push_back(ToPeer{to.endpoint, message});
+              }},
+             replica_.self()) {
     hosts_.remember(stored.hosts, now);
     for (const auto& seed : options_.seeds)
         if (seed.peer != options_.self.peer) known_[seed.peer] = seed;
@@ -80,7 +84,7 @@
     if (id.empty())
         outputs_.push_back(refusal(request.number, 404, "the path must end with a host's id"));
     else if (request.method == "PUT")
-        hosts_.heartbeat(request.number, id, request.body, now);
+        hosts_.heartbeat(request.number, id, request.body, replica_.is_current(now), now);
     else if (request.method == "DELETE")
         hosts_.leave(request.number, id, now);
     else
@@ -92,7 +96,7 @@
 void Node::connected(const Endpoint& peer, Time) {
     outputs_.push_back(
         ToPeer{peer, messages::PeerHello{replica_.self(), options_.self, options_.may_vote, controls()}});
-    outputs_.push_back(ToPeer{peer, messages::HostsTold{hosts_.all(), 0}});
+    outputs_.push_back(ToPeer{peer, messages::HostsTold{hosts_.all(), 0, true}});
     outputs_.push_back(ToPeer{peer, proxies_.own()});
 }
 
@@ -106,6 +110,9 @@
 void Node::link_closed(LinkNumber link) {
     links_.erase(link);
     proxies_.left(link);
+    waiting_.erase(link);
+    asked_for_.erase(link);
+    proven_.erase(link);
 }
 
 void Node::handle(LinkNumber link, const messages::PeerHello& hello, Time now) {
@@ -126,15 +133,15 @@
 }
 
 void Node::handle(LinkNumber link, const messages::HostsTold& hosts, Time now) {
-    hosts_.told(hosts, now);
     const auto from = links_.find(link);
-    if (hosts.confirm && from != links_.end())
-        outputs_.push_back(ToPeer{from->second.peer, messages::HostsConfirmed{hosts.confirm}});
+    if (from == links_.end()) return;
+    hosts_.told(from->second.replica, hosts, now);
+    if (hosts.all) hosts_from_.insert(from->second.replica);
 }
 
-void Node::handle(LinkNumber link, const messages::HostsConfirmed& confirmed, Time now) {
+void Node::handle(LinkNumber link, const messages::HostsConfirmed& confirmed, Time) {
     if (const auto from = links_.find(link); from != links_.end())
-        hosts_.confirmed(from->second.peer, confirmed.confirm, now);
+        hosts_.confirmed(from->second.replica, confirmed.confirm);
 }
 
 void Node::handle(LinkNumber, const messages::HostsHeard& heard, Time now) { hosts_.heard(heard, now); }
@@ -146,9 +153,37 @@
 void Node::handle(LinkNumber link, const messages::Subscribe& subscribe, Time now) {
     proxies_.subscribed(link, subscribe.node);
     tell_fleet(link, proxies_.names(), proxies_.total_demand(), true, now);
-    if (told_version_ > subscribe.version)
+    waiting_[link] = subscribe.version;
+    begin_subscriptions(now);
+}
+
+// A proxy may have no configuration yet, or come from a node that knew a newer one: it is told what this node knows
+// once a majority has shown that this is the newest, and once this node has heard what a majority knows of the hosts.
+void Node::begin_subscriptions(Time now) {
+    if (waiting_.empty()) return;
+    if (proven_.empty() && now - barrier_at_ >= barrier_again) {
+        asked_for_.clear();
+        for (const auto& [link, version] : waiting_) asked_for_.insert(link);
+        barrier_at_ = now;
+        barrier_ = replica_.barrier(consensus::BarrierAt::committed, now).value_or(0);
+    }
+    if (proven_.empty() || !knows_hosts() || told_index_ < proven_index_) return;
+    for (const auto link : std::exchange(proven_, {})) begin_subscription(link);
+    barrier_at_ = long_ago;   // those that have come meanwhile need not wait
+}
+
+void Node::begin_subscription(LinkNumber link) {
+    const auto waiting = waiting_.extract(link);
+    if (waiting.empty() || !proxies_.is_subscriber(link)) return;
+    if (told_version_ > waiting.mapped())
         outputs_.push_back(ToLink{link, messages::ConfigurationTold{told_version_, told_configuration_}});
-    outputs_.push_back(ToLink{link, messages::HostsTold{hosts_.all(), 0}});
+    outputs_.push_back(ToLink{link, messages::HostsTold{hosts_.all(), 0, true}});
+}
+
+bool Node::knows_hosts() const {
+    auto known = hosts_from_;
+    known.insert(replica_.self());
+    return is_majority(known);
 }
 
 void Node::handle(LinkNumber link, const messages::DemandTold& demand, Time) { proxies_.demanded(link, demand.demand); }
@@ -158,7 +193,8 @@
 }
 
 void Node::tell_hosts(const std::vector<registry::Host>& hosts) {
-    for (const auto link : proxies_.subscribers()) outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0}});
+    for (const auto link : proxies_.subscribers())
+        if (!waiting_.count(link)) outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0, false}});
 }
 
 void Node::tell_fleet(LinkNumber link, const std::vector<std::string>& names, const messages::Demand& demand,
@@ -176,17 +212,26 @@
 // Subscribers are told a configuration once it is committed, and never an older one.
 void Node::tell_configuration() {
     const auto& entry = replica_.entry();
-    if (!entry || entry->position.index > replica_.committed() || entry->state.version <= told_version_) return;
+    if (!entry || entry->position.index > replica_.committed()) return;
+    told_index_ = std::max(told_index_, entry->position.index);
+    if (entry->state.version <= told_version_) return;
     told_version_ = entry->state.version;
     told_configuration_ = entry->state.configuration;   // the entry may be replaced by one that is not committed yet
     for (const auto link : proxies_.subscribers())
-        outputs_.push_back(ToLink{link, messages::ConfigurationTold{told_version_, told_configuration_}});
+        if (!waiting_.count(link))
+            outputs_.push_back(ToLink{link, messages::ConfigurationTold{told_version_, told_configuration_}});
 }
 
 // The replica.
 
 void Node::persisted(uint64_t number, Time now) {
-    replica_.persisted(number, now);
+    uint64_t replica_write = 0;
+    while (!pending_writes_.empty() && pending_writes_.front().number <= number) {
+        replica_write = std::max(replica_write, pending_writes_.front().replica_write);
+        pending_writes_.pop_front();
+    }
+    if (replica_write) replica_.persisted(replica_write, now);
+    hosts_.written(number);
     carry_out(now);
 }
 
@@ -200,45 +245,55 @@
             else if (const auto* persist = std::get_if<consensus::Persist>(&output))
                 write(*persist);
             else if (const auto* committed = std::get_if<consensus::Committed>(&output))
-                tell_configuration(), configurations_.committed(committed->position.index, now);
+                tell_configuration(), begin_subscriptions(now),
+                    configurations_.committed(committed->position.index, now);
             else if (const auto* barrier = std::get_if<consensus::BarrierPassed>(&output))
-                configurations_.barrier_passed(barrier->number, now);
+                barrier_passed(*barrier, now);
             else if (!std::get<consensus::LeadershipChanged>(output).leads)
                 configurations_.leadership_lost();
         }
 }
 
+void Node::barrier_passed(const consensus::BarrierPassed& passed, Time now) {
+    if (passed.number != barrier_) return configurations_.barrier_passed(passed.number, now);
+    barrier_ = 0;
+    proven_ = std::exchange(asked_for_, {});
+    proven_index_ = passed.index;
+    begin_subscriptions(now);
+}
+
 void Node::write(const consensus::Persist& persist) {
     if (persist.hard_state) hard_state_ = *persist.hard_state;
+    write({disk_, persist.hard_state, persist.entry, std::nullopt}, persist.number);
+}
+
+void Node::write(messages::Record change, uint64_t replica_write) {
     auto whole = whole_record();
-    if (persist.entry) whole.entry = persist.entry;
-    outputs_.push_back(Write{persist.number,
-                             messages::encode_record({disk_, persist.hard_state, persist.entry, std::nullopt}),
-                             messages::encode_record(whole)});
+    if (change.entry) whole.entry = change.entry;
+    const auto number = next_write_++;
+    pending_writes_.push_back({number, replica_write});
+    outputs_.push_back(Write{number, messages::encode_record(change), messages::encode_record(whole)});
 }
 
 messages::Record Node::whole_record() const { return {disk_, hard_state_, replica_.entry(), hosts_written_}; }
 
-// The hosts as known now and then, so that a restart of everything need not wait for their heartbeats.
-void Node::write_hosts(Time now) {
-    if (now < hosts_at_) return;
-    hosts_at_ = now + hosts_every;
+// The hosts as known, with those that are gone: a late heartbeat must not bring one back after a restart.
+uint64_t Node::write_hosts() {
     auto hosts = hosts_.all();
-    std::erase_if(hosts, [](const auto& host) { return host.state >= registry::HostState::lost; });
+    std::erase_if(hosts, [](const auto& host) { return host.state == registry::HostState::lost; });
     for (auto& host : hosts) host.sequence = 0;   // changes with every heartbeat
-    if (hosts == hosts_written_) return;
+    if (hosts == hosts_written_) return hosts_write_;
     hosts_written_ = std::move(hosts);
-    outputs_.push_back(Write{0, messages::encode_record({disk_, std::nullopt, std::nullopt, hosts_written_}),
-                             messages::encode_record(whole_record())});
+    hosts_write_ = next_write_;
+    write({disk_, std::nullopt, std::nullopt, hosts_written_}, 0);
+    return hosts_write_;
 }
 
-bool Node::is_majority(const std::set<Endpoint>& confirmed) const {
+bool Node::is_majority(const std::set<consensus::ReplicaId>& present) const {
     if (!replica_.entry()) return false;
     const auto& voters = replica_.entry()->state.voters;
-    const auto knowing = std::count_if(voters.begin(), voters.end(), [&](const auto& voter) {
-        return voter.endpoint == options_.self.peer || confirmed.count(voter.endpoint) > 0;
-    });
-    return 2 * static_cast<size_t>(knowing) > voters.size();
+    const auto count = std::count_if(voters.begin(), voters.end(), [&](const auto& v) { return present.count(v) > 0; });
+    return 2 * static_cast<size_t>(count) > voters.size();
 }
 
 void Node::stopping(Time now) {
@@ -246,6 +301,8 @@
     carry_out(now);
 }
 
+bool Node::may_leave() const { return replica_.role() != consensus::Role::leader && replica_.is_copied(); }
+
 void Node::tick(Time now) {
     replica_.tick(now);
     const bool current = replica_.is_current(now);
@@ -253,6 +310,7 @@
     hosts_.tick(now, current);
     proxies_.tick(now);
     tell_configuration();
+    begin_subscriptions(now);
     if (now >= proxies_at_) {
         proxies_at_ = now + proxies_every;
         tell_all(proxies_.own());
@@ -265,7 +323,10 @@
         const auto demand = proxies_.total_demand();
         for (const auto link : proxies_.subscribers()) tell_fleet(link, names, demand, with_controls, now);
     }
-    write_hosts(now);
+    if (now >= hosts_at_) {
+        hosts_at_ = now + hosts_every;
+        write_hosts();
+    }
     carry_out(now);
 }
 
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -1,5 +1,10 @@
 // The control role as one state machine: replicated configuration, hosts, proxies. It knows no socket and no clock.
+//
+// What it says rests on contact with a majority of the voters: orders and readings on the leader's log and barriers, a
+// new subscription on a barrier and on the hosts that a majority of the voters knows of, drains on a majority's disks.
+// docs/control-safety.md has the argument.
 #pragma once
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -44,9 +49,10 @@
     void connected(const Endpoint& peer, Time now);   // the connection that this node keeps to a peer is up
     void received(LinkNumber link, const messages::Message& message, Time now);
     void link_closed(LinkNumber link);
-    void persisted(uint64_t number, Time now);
+    void persisted(uint64_t number, Time now);   // the writes up to that number are safe
     void tick(Time now);
     void stopping(Time now);   // hands leadership over
+    bool may_leave() const;    // once it is stopping: it does not lead, and others hold what it holds
 
     Outputs take_outputs() { return std::exchange(outputs_, {}); }
     std::vector<Endpoint> peers() const;   // to keep connections to
@@ -76,11 +82,16 @@
     void tell_fleet(LinkNumber link, const std::vector<std::string>& names, const messages::Demand& demand,
                     bool with_controls, Time now);
     void tell_configuration();
+    void begin_subscriptions(Time now);   // of proxies that wait for proof of contact
+    void begin_subscription(LinkNumber link);
     void carry_out(Time now);   // what the replica asks for
+    void barrier_passed(const consensus::BarrierPassed& passed, Time now);
     void write(const consensus::Persist& persist);
-    void write_hosts(Time now);
+    uint64_t write_hosts();   // the number of the write that holds the hosts as known now
+    void write(messages::Record change, uint64_t replica_write);
     messages::Record whole_record() const;
-    bool is_majority(const std::set<Endpoint>& confirmed) const;
+    bool is_majority(const std::set<consensus::ReplicaId>& present) const;
+    bool knows_hosts() const;
     std::vector<messages::ControlNode> controls() const;
 
     NodeOptions options_;
@@ -94,8 +105,23 @@
     std::map<Endpoint, messages::ControlNode> known_;   // control nodes, by peer endpoint; not this one
     std::map<LinkNumber, Link> links_;                  // of other control nodes
     std::string told_configuration_;                    // the last that was committed here
+    uint64_t told_index_ = 0;                           // of the newest committed entry that was looked at whole
     uint64_t told_version_ = 0;                         // of the configuration that subscribers were told
-    std::vector<registry::Host> hosts_written_;
+    std::vector<registry::Host> hosts_written_;         // or being written
+    uint64_t hosts_write_ = 0;                          // the write that holds them
+    std::set<consensus::ReplicaId> hosts_from_;         // control nodes that have told all the hosts they know of
+    // Writes under way, with the number by which the replica knows its own.
+    struct PendingWrite {
+        uint64_t number = 0, replica_write = 0;
+    };
+    std::deque<PendingWrite> pending_writes_;
+    uint64_t next_write_ = 1;
+    // Subscriptions that wait for a barrier: those that were there when it was asked for are begun when it holds.
+    std::map<LinkNumber, uint64_t> waiting_;   // the version that each proxy has
+    std::set<LinkNumber> asked_for_, proven_;
+    uint64_t barrier_ = 0;        // 0: none is under way
+    uint64_t proven_index_ = 0;   // that must be told of before `proven_` are begun
+    Time barrier_at_ = long_ago;
     Time hosts_at_ = long_ago;
     Time fleet_at_ = long_ago, proxies_at_ = long_ago;
     size_t known_told_ = 0;
--- a/src/roles/control/outputs.hpp
+++ b/src/roles/control/outputs.hpp
@@ -31,9 +31,9 @@
     std::string location;   // of a 307
 };
 
-// To be written and synced; `persisted` is told the number. Where several wait, the last one is enough.
+// To be written and synced; `persisted` is told the number, which rises. Where several wait, the last one is enough.
 struct Write {
-    uint64_t number = 0;         // 0: nobody waits for it
+    uint64_t number = 0;
     std::string change, whole;   // as storage::RecordRing takes them
 };
 
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -25,10 +25,11 @@
     bool disk_works = true;
     uint64_t unwritten = 0;
     std::vector<Answer> answers;
-    std::vector<messages::Message> to_proxy;
+    std::vector<messages::Message> to_proxy, to_peers;
+    size_t hosts_told = 0;   // messages to the proxy
     RequestNumber next = 1;
 
-    explicit Control(std::vector<std::string> others = {}) {
+    explicit Control(std::vector<std::string> others = {}, const std::string& known = "") {
         NodeOptions options;
         options.self = {{"10.0.0.1", 7500}, {"10.0.0.1", 8367}, "north"};
         options.may_vote = true;
@@ -36,6 +37,10 @@
         consensus::ClusterState cluster;
         cluster.voters.push_back({options.self.peer, 0});
         for (const auto& other : others) cluster.voters.push_back({{other, 7500}, 0});
+        if (!known.empty()) {
+            cluster.configuration = known;
+            cluster.version = std::get<configuration::Configuration>(configuration::read_configuration(known)).version;
+        }
         stored.entry = consensus::Entry{{0, 1}, cluster};
         node = std::make_unique<Node>(options, stored, now);
         pass(Span{2});
@@ -51,7 +56,11 @@
         for (auto outputs = node->take_outputs(); !outputs.empty(); outputs = node->take_outputs()) {
             for (auto& output : outputs) {
                 if (auto* answer = std::get_if<Answer>(&output)) answers.push_back(*answer);
-                if (auto* link = std::get_if<ToLink>(&output)) to_proxy.push_back(link->message);
+                if (auto* link = std::get_if<ToLink>(&output)) {
+                    to_proxy.push_back(link->message);
+                    hosts_told += std::holds_alternative<messages::HostsTold>(link->message);
+                }
+                if (auto* peer = std::get_if<ToPeer>(&output)) to_peers.push_back(peer->message);
                 if (const auto* wanted = std::get_if<Write>(&output)) unwritten = std::max(unwritten, wanted->number);
             }
             write();
@@ -93,6 +102,9 @@
     }
 };
 
+const messages::ControlNode second{{"10.0.0.2", 7500}, {"10.0.0.2", 8367}, "south"};
+constexpr LinkNumber second_link = 9;
+
 constexpr auto heartbeat = R"({"service":"s","address":"10.9.0.1:80","state":"ready","sequence":1})";
 constexpr auto drain = R"({"service":"s","address":"10.9.0.1:80","state":"draining","sequence":2})";
 
@@ -169,15 +181,14 @@
 
 TEST_CASE("a drain is acknowledged only when a majority of the voters knows of it") {
     Control control({"10.0.0.2", "10.0.0.3"});
-    CHECK(control.status(control.ask("PUT", "/instances/i-1", "", heartbeat)) == 200);
+    CHECK(control.status(control.ask("PUT", "/instances/i-1", "", heartbeat)) == 503);   // taken, not acknowledged
     const auto alone = control.ask("PUT", "/instances/i-1", "", drain);
     control.pass(Span{1.2});
     CHECK(control.status(alone) == 503);
-    const messages::ControlNode other{{"10.0.0.2", 7500}, {"10.0.0.2", 8367}, "south"};
-    control.node->received(9, messages::PeerHello{{other.peer, 0}, other, true, {}}, control.now);
+    control.node->received(second_link, messages::PeerHello{{second.peer, 0}, second, true, {}}, control.now);
     const auto again = control.ask("PUT", "/instances/i-1", "", drain);
     CHECK(control.status(again) == 0);
-    control.node->received(9, messages::HostsConfirmed{2}, control.now);
+    control.node->received(second_link, messages::HostsConfirmed{2}, control.now);
     control.carry_out();
     CHECK(control.status(again) == 200);
 }
@@ -187,3 +198,59 @@
     CHECK(control.status(control.ask("PUT", "/config", "0", document(3))) == 503);
     CHECK(control.status(control.ask("GET", "/config")) == 503);
 }
+
+TEST_CASE("a drain is acknowledged only when it is on disk, its own and a majority's") {
+    Control control;
+    control.ask("PUT", "/instances/i-1", "", heartbeat);
+    control.disk_works = false;
+    const auto refused = control.ask("PUT", "/instances/i-1", "", drain);
+    control.pass(Span{1.2});
+    CHECK(control.status(refused) == 503);
+    const auto taken = control.ask("PUT", "/instances/i-1", "", drain);
+    CHECK(control.status(taken) == 0);
+    control.disk_works = true;
+    control.pass(Span{0.2});
+    CHECK(control.status(taken) == 200);
+}
+
+TEST_CASE("a node confirms to another one what it has been told only once that is on its disk") {
+    Control control({"10.0.0.2", "10.0.0.3"});
+    control.node->received(second_link, messages::PeerHello{{second.peer, 0}, second, true, {}}, control.now);
+    control.carry_out();
+    const registry::Host leaving{"i-1", "s", "10.9.0.1:80", "north", 1, registry::HostState::draining, 2};
+    const auto confirmations = [&] {
+        size_t count = 0;
+        for (const auto& message : control.to_peers)
+            if (const auto* confirmed = std::get_if<messages::HostsConfirmed>(&message))
+                count += confirmed->confirm == 7;
+        return count;
+    };
+    control.disk_works = false;
+    control.node->received(second_link, messages::HostsTold{{leaving}, 7, false}, control.now);
+    control.carry_out();
+    CHECK(confirmations() == 0);
+    control.disk_works = true;
+    control.carry_out();
+    CHECK(confirmations() == 1);
+    control.node->received(second_link, messages::HostsTold{{leaving}, 7, false}, control.now);   // it is there already
+    control.carry_out();
+    CHECK(confirmations() == 2);
+}
+
+TEST_CASE("a proxy is told nothing of hosts and configuration by a node that reaches no majority") {
+    Control control({"10.0.0.2", "10.0.0.3"}, document(3));
+    control.subscribe();
+    control.pass(Span{3});
+    CHECK(control.configuration_told() == std::nullopt);
+    CHECK(control.hosts_told == 0);
+}
+
+TEST_CASE("a node that is alone in its cluster tells a new proxy at once, a proxy that is up to date only the hosts") {
+    Control control({}, document(3));
+    control.subscribe();
+    CHECK(control.configuration_told() == 3);
+    CHECK(control.hosts_told == 1);
+    control.subscribe(3);
+    CHECK(control.configuration_told() == std::nullopt);
+    CHECK(control.hosts_told == 2);
+}
--- /dev/null
+++ b/tests/system/replica_test.cpp
@@ -0,0 +1,207 @@
+// A replica by itself: what it answers to single messages, and what it takes for proof.
+#include <doctest/doctest.h>
+
+#include <memory>
+
+#include "consensus/replica.hpp"
+
+using namespace myrtleroute;
+using namespace myrtleroute::consensus;
+
+namespace {
+
+ReplicaId replica(int number, uint64_t disk = 0) { return {{"10.0.0." + std::to_string(number), 7500}, disk}; }
+
+// One replica of three; the test is its disk and its peers.
+struct Alone {
+    Time now{100};
+    std::unique_ptr<Replica> self;
+    std::vector<SendTo> sent;
+    std::vector<BarrierPassed> passed;
+
+    explicit Alone(HardState hard_state = {}, uint64_t version = 0) {
+        ClusterState state;
+        state.voters = {replica(1), replica(2), replica(3)};
+        state.version = version;
+        self = std::make_unique<Replica>(replica(1), hard_state, Entry{{0, 1}, state}, ReplicaOptions{}, 1, now);
+    }
+    void collect() {
+        for (auto outputs = self->take_outputs(); !outputs.empty(); outputs = self->take_outputs())
+            for (auto& output : outputs) {
+                if (auto* message = std::get_if<SendTo>(&output)) sent.push_back(*message);
+                if (auto* barrier = std::get_if<BarrierPassed>(&output)) passed.push_back(*barrier);
+                if (auto* persist = std::get_if<Persist>(&output)) self->persisted(persist->number, now);
+            }
+    }
+    void hear(int from, const Message& message, uint64_t disk = 0) {
+        self->received(replica(from, disk), message, now);
+        collect();
+    }
+    void pass(Span span) {
+        for (const Time end = now + span; now < end; now = now + Span{0.05}) {
+            self->tick(now);
+            collect();
+        }
+    }
+    template <class Kind>
+    std::optional<Kind> last(int to) const {
+        for (auto it = sent.rbegin(); it != sent.rend(); ++it)
+            if (it->to.endpoint == replica(to).endpoint)
+                if (const auto* message = std::get_if<Kind>(&it->message)) return *message;
+        return {};
+    }
+    // Elected by the votes of the other two, which then hold its first entry.
+    void lead() {
+        while (!last<VoteRequest>(2)) pass(Span{0.05});
+        hear(2, VoteReply{true, last<VoteRequest>(2)->term, true});
+        const auto term = last<VoteRequest>(2)->term;
+        hear(2, VoteReply{false, term, true});
+        answer(2);
+        answer(3);
+    }
+    void answer(int from, uint64_t disk = 0) {
+        const auto append = last<Append>(from);
+        if (append) hear(from, AppendReply{append->term, append->round, append->last}, disk);
+    }
+};
+
+Append append(uint64_t term, uint64_t round, Position last, uint64_t commit, uint64_t answered) {
+    return {term, round, last, commit, false, answered, std::nullopt};
+}
+
+}   // namespace
+
+TEST_CASE("a replica that only asks whether it could be elected still votes for another one") {
+    Alone alone({3, {}});
+    while (!alone.last<VoteRequest>(2)) alone.pass(Span{0.05});
+    REQUIRE(alone.self->role() == Role::candidate);
+    alone.hear(2, VoteRequest{false, 3, {0, 1}, false});
+    REQUIRE(alone.last<VoteReply>(2));
+    CHECK(alone.last<VoteReply>(2)->granted);
+    CHECK(alone.self->role() == Role::follower);
+}
+
+TEST_CASE("a replica votes once a term, also when it is asked again because its reply was lost") {
+    Alone alone;
+    alone.hear(2, VoteRequest{false, 5, {0, 1}, true});
+    CHECK(alone.last<VoteReply>(2)->granted);
+    alone.hear(2, VoteRequest{false, 5, {0, 1}, true});
+    CHECK(alone.last<VoteReply>(2)->granted);
+    alone.hear(3, VoteRequest{false, 5, {0, 9}, true});
+    CHECK_FALSE(alone.last<VoteReply>(3)->granted);
+}
+
+TEST_CASE("one that has voted for itself votes for nobody else in that term") {
+    Alone alone;
+    while (!alone.last<VoteRequest>(2)) alone.pass(Span{0.05});
+    alone.hear(2, VoteReply{true, alone.last<VoteRequest>(2)->term, true});   // now it stands
+    const auto term = alone.self->term();
+    alone.hear(3, VoteRequest{false, term, {0, 9}, false});
+    CHECK_FALSE(alone.last<VoteReply>(3)->granted);
+}
+
+TEST_CASE(
+    "a follower is current by answers that its leader has had, not by old messages that it finds after a freeze") {
+    Alone alone;
+    alone.hear(2, append(4, 1, {0, 1}, 1, 0));
+    CHECK_FALSE(alone.self->is_current(alone.now));
+    alone.hear(2, append(4, 2, {0, 1}, 1, 1));
+    CHECK(alone.self->is_current(alone.now));
+    alone.now = alone.now + Span{20};
+    alone.hear(2, append(4, 3, {0, 1}, 1, 2));   // sent twenty seconds ago
+    alone.hear(2, append(4, 4, {0, 1}, 1, 2));
+    CHECK_FALSE(alone.self->is_current(alone.now));
+    alone.hear(2, append(4, 5, {0, 1}, 1, 4));
+    CHECK(alone.self->is_current(alone.now));
+}
+
+TEST_CASE("a leader is current by answers to rounds that it has sent lately, not by old answers after a freeze") {
+    Alone alone;
+    alone.lead();
+    REQUIRE(alone.self->role() == Role::leader);
+    CHECK(alone.self->is_current(alone.now));
+    const auto old = *alone.last<Append>(2);
+    alone.now = alone.now + Span{20};
+    CHECK_FALSE(alone.self->is_current(alone.now));
+    alone.hear(2, AppendReply{old.term, old.round, old.last});
+    alone.hear(3, AppendReply{old.term, old.round, old.last});
+    CHECK_FALSE(alone.self->is_current(alone.now));
+    alone.pass(Span{0.05});
+    CHECK(alone.self->role() == Role::follower);
+}
+
+TEST_CASE("a barrier of a follower holds when the leader's majority has confirmed it and its entries are here") {
+    Alone alone;
+    alone.hear(2, append(4, 1, {0, 1}, 1, 0));
+    const auto number = alone.self->barrier(BarrierAt::committed, alone.now);
+    alone.collect();
+    REQUIRE(number);
+    REQUIRE(alone.last<ReadRequest>(2));
+    CHECK(alone.passed.empty());
+    alone.hear(3, ReadReply{4, *number, 1});   // who does not lead
+    CHECK(alone.passed.empty());
+    alone.hear(2, ReadReply{4, *number, 7});
+    CHECK(alone.passed.empty());   // entry 7 is not here yet
+    auto newer = append(4, 2, {4, 7}, 7, 1);
+    newer.state = alone.self->entry()->state;
+    alone.hear(2, newer);
+    REQUIRE(alone.passed.size() == 1);
+    CHECK(alone.passed[0].number == *number);
+    CHECK(alone.passed[0].index == 7);
+}
+
+TEST_CASE("a leader answers a follower's barrier only after a majority has answered a later round") {
+    Alone alone;
+    alone.lead();
+    alone.hear(3, ReadRequest{alone.self->term(), 12});
+    CHECK_FALSE(alone.last<ReadReply>(3));
+    alone.answer(2);
+    REQUIRE(alone.last<ReadReply>(3));
+    CHECK(alone.last<ReadReply>(3)->number == 12);
+}
+
+TEST_CASE("a barrier does not hold for a leader that a majority does not answer") {
+    Alone alone;
+    alone.lead();
+    alone.passed.clear();
+    REQUIRE(alone.self->barrier(BarrierAt::last, alone.now));
+    alone.collect();
+    alone.pass(Span{3});
+    CHECK(alone.passed.empty());
+    CHECK(alone.self->role() != Role::leader);
+}
+
+TEST_CASE(
+    "a voter whose machine is back with another disk is dropped at once, and the new replica joins when it is level") {
+    Alone alone;
+    alone.lead();
+    REQUIRE(alone.self->role() == Role::leader);
+    alone.self->met(replica(3, 77), true, alone.now + Span{0.01});
+    alone.now = alone.now + Span{0.05};
+    alone.pass(Span{0.1});
+    CHECK_FALSE(alone.self->is_voter(replica(3)));
+    alone.answer(2);
+    alone.pass(Span{0.1});
+    CHECK_FALSE(alone.self->is_voter(replica(3, 77)));   // it has not shown the last entry
+    alone.answer(3, 77);
+    alone.pass(Span{0.1});
+    CHECK(alone.self->is_voter(replica(3, 77)));
+}
+
+TEST_CASE("the disk of a replica may be lost once every voter that answers has its last entry") {
+    Alone alone;
+    alone.lead();
+    alone.pass(Span{0.3});
+    alone.answer(2);
+    alone.answer(3);
+    CHECK(alone.self->is_copied());
+    auto state = alone.self->entry()->state;
+    state.version = 9;
+    REQUIRE(alone.self->propose(state, alone.now));
+    alone.collect();
+    alone.answer(2);
+    CHECK(alone.self->committed() == alone.self->entry()->position.index);
+    CHECK_FALSE(alone.self->is_copied());   // one more voter answers, and lacks it
+    alone.answer(3);
+    CHECK(alone.self->is_copied());
+}
