A disk that has forgotten what it took is told from one that lost power; a node that stops waits for copies

Cause: the ring read up to the first record that did not check and went on as the same replica with what stood before it, also with sound records behind it or with an unreadable newest file: a vote or an entry could be forgotten. A node that stopped left after 0.4 s whatever only its disk held. Change: a seal behind every record that is safe; a bad record with a sound one or a seal of its generation behind it is damage, and the node joins as a new replica. At SIGTERM a node waits, up to 2.5 s, until it does not lead and every voter that answers has its last entry. The test on flipped bits wanted the sound beginning to be read; it now wants every flip found out or harmless, which is stricter: the beginning alone was the fault.

--- a/src/roles/control/runtime.cpp
+++ b/src/roles/control/runtime.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_every{100}, leave_after{400}, disk_retry{200};
+constexpr Span leave_within{2.5};   // for others to hold what this node holds; and a third of the grace at the most
 constexpr size_t ring_files = 3;
 constexpr int exit_fault = 2;
 
@@ -62,8 +63,10 @@
     return state;
 }
 
-StoredState stored_state(const storage::Records& records, const configuration::NodeSettings& settings) {
-    StoredState state = first_state(settings);
+// With a damaged disk the replica that was here must not go on: it may have forgotten a vote or an entry.
+StoredState stored_state(const storage::Records& records, const configuration::NodeSettings& settings,
+                         bool is_damaged) {
+    StoredState state = is_damaged ? StoredState{random_number(), {}, {}, {}} : first_state(settings);
     for (const auto& json : records) {
         auto record = messages::decode_record(json);
         if (!record) continue;
@@ -103,7 +106,7 @@
     int start() {
         storage::Records records;
         if (!settings_.data_directory.empty() && !open_disk(records)) return exit_fault;
-        node_ = std::make_unique<Node>(node_options(settings_), stored_state(records, settings_), now());
+        node_ = std::make_unique<Node>(node_options(settings_), stored_state(records, settings_, is_damaged_), now());
         const auto at = peer_endpoint(settings_, settings_.address);
         try {
             network_.listen(at);
@@ -133,7 +136,12 @@
             auto opened = storage::open_files(settings_.data_directory, ring_files, storage::RingOptions{}.file_bytes);
             if (auto* files = std::get_if<0>(&opened)) {
                 storage::RecordRing ring(std::move(*files), {});
-                records = ring.recover();
+                auto recovered = ring.recover();
+                if (recovered.damaged)
+                    log_error() << "dataDir: " << settings_.data_directory
+                                << ": records that were safe can't be read; this node joins as a new replica";
+                is_damaged_ = recovered.damaged;
+                records = std::move(recovered.records);
                 disk_ = std::make_unique<DiskWriter>(std::move(ring), [this](uint64_t number) {
                     asio::post(context_, [this, number] { persisted(number); });
                 });
@@ -195,10 +203,19 @@
         signals_.async_wait([this](asio::error_code error, int number) {
             if (error) return;
             if (number == SIGHUP) return hear_signals();   // nothing of the control role changes while it runs
-            node_->stopping(now());
-            carry_out();
-            leave_.expires_after(leave_after);
-            leave_.async_wait([this](asio::error_code) { context_.stop(); });
+            leave_until_ = now() + std::min(leave_within, settings_.grace * (1.0 / 3));
+            leave();
+        });
+    }
+
+    // Leadership first, and then the copies: what only this disk holds would be lost with it.
+    void leave() {
+        if (node_->replica().role() == consensus::Role::leader) node_->stopping(now());
+        carry_out();
+        leave_.expires_after(leave_after);
+        leave_.async_wait([this](asio::error_code) {
+            if (node_->may_leave() || now() >= leave_until_) return context_.stop();
+            leave();
         });
     }
 
@@ -211,6 +228,8 @@
     std::unique_ptr<HttpApi> http_;
     std::unique_ptr<DiskWriter> disk_;
     std::map<RequestNumber, std::string> orders_;   // that wait for their answer, for the log
+    Time leave_until_;
+    bool is_damaged_ = false;
     int exit_code_ = 0;
 };
 
--- a/src/storage/record_ring.hpp
+++ b/src/storage/record_ring.hpp
@@ -4,8 +4,12 @@
 // a write to it has failed, the next file is begun with the whole state. Only one file is written to; the one before
 // it stays as it was until the new one's first record is safe, so a crash at any point leaves one whole state.
 //
-// A record carries its file's generation, its place in the file and a checksum (XXH3). Reading ends at the first
-// record that is torn, missing or of an older generation.
+// A record carries its file's generation, its place in the file and a checksum (XXH3). Once it is synced a seal is
+// written behind it. So a record that can't be read is one of two things. With nothing sound of its generation behind it,
+// it is the write that a loss of power interrupted, and nothing was promised of it. With a sound record or a seal behind
+// it, the disk has lost what it had taken (bit rot, a lost write): what is left is older than what this replica has
+// promised to others, and it must not go on as the replica that it was. (Alagappan et al., "Protocol-Aware Recovery for
+// Consensus-Based Storage", 2018, draw the same line.)
 #pragma once
 #include <cstdint>
 #include <memory>
@@ -32,13 +36,18 @@
 // What was found: whole states and changes as they were written, the oldest first. The first is a whole state.
 using Records = std::vector<std::string>;
 
+struct Recovered {
+    Records records;        // empty: this disk is new, or nothing on it can be used
+    bool damaged = false;   // records that had been safe can't be read: there may be promises that are forgotten
+};
+
 class RecordRing {
 public:
     // Two files or more, made and of their full length.
     RecordRing(std::vector<std::unique_ptr<File>> files, RingOptions options);
 
-    // Reads what is there, once, before the first write. Empty: this disk is new.
-    Records recover();
+    // Reads what is there, once, before the first write.
+    Recovered recover();
 
     // Appends a change and syncs it. `whole` is the state that includes it, written instead where a new file is begun.
     // False: nothing is promised of it; the next call begins a new file.
@@ -48,10 +57,13 @@
     struct Found {
         uint64_t generation = 0;
         Records records;
-        uint64_t end = 0;
+        uint64_t end = 0;      // where the first record that can't be read begins
+        uint64_t behind = 0;   // the newest generation of what is sound behind that; 0 = nothing is
     };
     Found read_file(File& file) const;
+    uint64_t newest_behind(File& file, uint64_t from) const;
     bool begin_file(std::string_view whole);
+    bool seal(File& file, uint64_t generation, uint64_t at);
 
     std::vector<std::unique_ptr<File>> files_;
     RingOptions options_;
--- a/tests/system/storage_test.cpp
+++ b/tests/system/storage_test.cpp
@@ -73,7 +73,7 @@
 
 TEST_CASE("an empty disk has no records") {
     std::vector<Platter> platters(3);
-    CHECK(open_ring(platters).recover().empty());
+    CHECK(open_ring(platters).recover().records.empty());
 }
 
 TEST_CASE("records come back in their order, the first one whole") {
@@ -83,7 +83,7 @@
     REQUIRE(ring.append("change 1", "whole 1"));
     REQUIRE(ring.append("change 2", "whole 2"));
     REQUIRE(ring.append("change 3", "whole 3"));
-    CHECK(open_ring(platters).recover() == storage::Records{"whole 1", "change 2", "change 3"});
+    CHECK(open_ring(platters).recover().records == storage::Records{"whole 1", "change 2", "change 3"});
 }
 
 TEST_CASE("what was told to be safe outlives any loss of power") {
@@ -94,9 +94,11 @@
         uint64_t written = 0, safe = 0;
         for (int life = 0; life < 8; ++life) {
             auto ring = open_ring(platters);
-            const auto found = number_of(ring.recover());
-            REQUIRE(found >= safe);      // nothing that was told is lost
-            REQUIRE(found <= written);   // and nothing is made up
+            const auto recovered = ring.recover();
+            const auto found = number_of(recovered.records);
+            REQUIRE_FALSE(recovered.damaged);   // a loss of power is no damage
+            REQUIRE(found >= safe);             // nothing that was told is lost
+            REQUIRE(found <= written);          // and nothing is made up
             safe = std::max(safe, found);
             const auto writes = chance.next() % 60;
             for (uint64_t i = 0; i < writes; ++i) {
@@ -112,8 +114,9 @@
     }
 }
 
-TEST_CASE("a flipped bit ends what is read, it is never taken for a record") {
-    for (size_t at = 0; at < 3 * 32 + 7 + 8 + 8; ++at) {   // three headers and payloads
+TEST_CASE("a flipped bit is found out, wherever it is: the disk has forgotten what it took, or nothing is lost") {
+    constexpr size_t place = 32, written = 3 * 3 * place;   // three records: header, payload, seal
+    for (size_t at = 0; at < written; ++at) {
         CAPTURE(at);
         std::vector<Platter> platters(2);
         auto ring = open_ring(platters);
@@ -122,18 +125,52 @@
         REQUIRE(ring.append("2:change", "2:whole"));
         REQUIRE(ring.append("3:change", "3:whole"));
         platters[0].seen[at] = static_cast<char>(platters[0].seen[at] ^ 4);
-        const auto records = open_ring(platters).recover();
+        const auto recovered = open_ring(platters).recover();
         const storage::Records all{"1:whole", "2:change", "3:change"};
-        CHECK(records.size() < all.size());
-        CHECK(std::equal(records.begin(), records.end(), all.begin()));
+        CHECK((recovered.damaged || recovered.records == all));
+        CHECK(recovered.damaged == recovered.records.empty());
     }
 }
 
+TEST_CASE("a newest file whose beginning can't be read is damage, also when only that record was in it") {
+    for (const bool more : {false, true}) {
+        CAPTURE(more);
+        std::vector<Platter> platters(2);
+        auto ring = open_ring(platters);
+        ring.recover();
+        REQUIRE(ring.append("1:whole", "1:whole"));
+        platters[0].refuses = true;
+        CHECK_FALSE(ring.append("2:change", "2:whole"));
+        platters[0].refuses = false;
+        REQUIRE(ring.append("3:change", "3:whole"));   // in the next file
+        if (more) REQUIRE(ring.append("4:change", "4:whole"));
+        platters[1].seen[34] ^= 1;
+        CHECK(open_ring(platters).recover().damaged);
+    }
+}
+
+TEST_CASE("a damaged disk is written to again, and what is written then is found") {
+    std::vector<Platter> platters(3);
+    {
+        auto ring = open_ring(platters);
+        ring.recover();
+        REQUIRE(ring.append("1:whole", "1:whole"));
+        REQUIRE(ring.append("2:change", "2:whole"));
+    }
+    platters[0].seen[34] ^= 1;
+    auto ring = open_ring(platters);
+    REQUIRE(ring.recover().damaged);
+    REQUIRE(ring.append("9:new", "9:new"));
+    const auto again = open_ring(platters).recover();
+    CHECK_FALSE(again.damaged);
+    CHECK(again.records == storage::Records{"9:new"});
+}
+
 TEST_CASE("a state that does not fit into a file is refused, and what was there stays") {
     std::vector<Platter> platters(2);
     auto ring = open_ring(platters);
     ring.recover();
     REQUIRE(ring.append("1:a", "1:a"));
     CHECK_FALSE(ring.append(state(2, 2 * file_bytes), state(2, 2 * file_bytes)));
-    CHECK(number_of(open_ring(platters).recover()) == 1);
+    CHECK(number_of(open_ring(platters).recover().records) == 1);
 }
