--- a/src/roles/control/disk_writer.cpp
+++ b/src/roles/control/disk_writer.cpp
@@ -1,6 +1,5 @@
 #include "roles/control/disk_writer.hpp"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -26,37 +25,23 @@
 void DiskWriter::write(Write write) {
     {
         const std::lock_guard lock(mutex_);
-        if (next_) {
-            alone_ = false;
-            write.number = std::max(write.number, next_->number);   // its state is in this one too
-        }
-        next_ = std::move(write);
+        queue_.add(std::move(write));
     }
     wanted_.notify_one();
 }
 
-bool DiskWriter::make(const Write& write, bool alone) {
-    return ring_.append(alone ? write.change : write.whole, write.whole);
-}
-
 void DiskWriter::run() {
     std::unique_lock lock(mutex_);
     for (;;) {
-        wanted_.wait(lock, [this] { return next_ || ending_; });
+        wanted_.wait(lock, [this] { return !queue_.empty() || ending_; });
         if (ending_) return;
-        Write write = std::move(*next_);
-        const bool alone = std::exchange(alone_, true);
-        next_.reset();
+        auto [write, alone] = queue_.take();
         lock.unlock();
-        const bool made = make(write, alone);
+        const bool made = ring_.append(alone ? write.change : write.whole, write.whole);
         if (made) done_(write.number);
         lock.lock();
         if (made) continue;
-        if (next_)
-            next_->number = std::max(next_->number, write.number);   // it holds this one's state
-        else
-            next_ = std::move(write);
-        alone_ = false;
+        queue_.refused(std::move(write));
         wanted_.wait_for(lock, retry_after, [this] { return ending_; });
     }
 }
--- a/src/roles/control/disk_writer.hpp
+++ b/src/roles/control/disk_writer.hpp
@@ -3,10 +3,9 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
-#include <optional>
 #include <thread>
 
-#include "roles/control/outputs.hpp"
+#include "roles/control/write_queue.hpp"
 #include "storage/record_ring.hpp"
 
 namespace myrtleroute::control {
@@ -20,14 +19,12 @@
 
 private:
     void run();
-    bool make(const Write& write, bool alone);
 
     storage::RecordRing ring_;
     std::function<void(uint64_t)> done_;
     std::mutex mutex_;
     std::condition_variable wanted_;
-    std::optional<Write> next_;
-    bool alone_ = true;   // nothing was left out before `next_`
+    WriteQueue queue_;
     bool ending_ = false;
     std::thread thread_;
 };
--- /dev/null
+++ b/src/roles/proxy/subscriber.hpp
@@ -0,0 +1,75 @@
+// The proxy's side of a subscription, as a state machine: one control node at a time, the nearest that is in touch with
+// a majority. The driver owns the connection; it tells what becomes of it and carries out what `take_outputs` returns.
+#pragma once
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "memory/connection.hpp"
+#include "messages/messages.hpp"
+#include "random.hpp"
+
+namespace myrtleroute::proxy {
+
+// Opens a connection to a control node; there is none.
+struct OpenLink {
+    Endpoint to;
+};
+struct SendOnLink {
+    messages::Message message;
+};
+// Ends the connection; its end is not told back.
+struct CloseLink {
+    memory::Why why = memory::Why::told_to_close;
+};
+// The control node is to be told what has been asked of this proxy.
+struct DemandDue {};
+// What the control node has said.
+struct Told {
+    messages::Message message;
+};
+using SubscriberOutput = std::variant<OpenLink, SendOnLink, CloseLink, DemandDue, Told>;
+
+struct SubscriberOptions {
+    std::string node;      // name of this proxy
+    std::string address;   // of its machine
+    std::string zone;
+    uint64_t seed = 1;
+};
+
+class Subscriber {
+public:
+    explicit Subscriber(SubscriberOptions options) : options_(std::move(options)), chance_(options_.seed) {}
+
+    void add_seeds(const std::vector<messages::ControlNode>& seeds);
+    // The connection is up. `version`: of the configuration that this proxy has.
+    void opened(uint64_t version, Time now);
+    void failed(Time now);   // the connection broke or did not come up
+    void received(const messages::Message& message, Time now);
+    void tick(Time now);   // several times a second
+
+    std::vector<SubscriberOutput> take_outputs() { return std::exchange(outputs_, {}); }
+    const Endpoint& at() const { return at_; }   // the control node that is or was connected to last
+
+private:
+    struct Node {
+        messages::ControlNode node;
+        Time failed = long_ago;   // last time that it was silent, unreachable or out of touch with a majority
+    };
+    enum class Link { none, opening, open };
+    Node* choose(Time now);
+    int distance(const Node& node) const;
+    void leave(memory::Why why, Time now);
+
+    SubscriberOptions options_;
+    Pcg chance_;
+    std::vector<SubscriberOutput> outputs_;
+    std::map<Endpoint, Node> nodes_;   // by peer endpoint
+    Link link_ = Link::none;
+    Endpoint at_;
+    Time heard_ = long_ago, out_of_touch_since_ = long_ago, demand_at_ = long_ago;
+};
+
+}   // namespace myrtleroute::proxy
--- a/src/roles/proxy/subscription.hpp
+++ b/src/roles/proxy/subscription.hpp
@@ -1,12 +1,10 @@
-// The proxy's connection to the control role: one node at a time, the nearest that is in touch with a quorum.
+// The proxy's connection to the control role: drives a Subscriber over a socket.
 #pragma once
 #include <functional>
-#include <map>
-#include <vector>
+#include <optional>
 
-#include "memory/connection.hpp"
-#include "messages/messages.hpp"
 #include "roles/proxy/context.hpp"
+#include "roles/proxy/subscriber.hpp"
 
 namespace myrtleroute::proxy {
 
@@ -31,24 +29,17 @@
 
 private:
     struct Link;
-    struct Node {
-        messages::ControlNode node;
-        Time failed = long_ago;   // last time that it was silent, unreachable or out of touch with a quorum
-    };
     void add_seeds();
-    void connect();
-    Node* choose();
-    int distance(const Node& node) const;
+    void carry_out();
+    void open(const Endpoint& to);
     void take(const messages::Message& message);
-    void leave(memory::Why why);
     void send(const messages::Message& message);
+    void end(memory::Why why);
 
     Context& context_;
     Events events_;
-    std::map<Endpoint, Node> nodes_;   // by peer endpoint
+    Subscriber subscriber_;
     Link* link_ = nullptr;
-    Endpoint at_;   // the node that `link_` leads to
-    Time heard_ = long_ago, out_of_touch_since_ = long_ago, demand_at_ = long_ago;
     bool stopped_ = false;
 };
 
