A voter that is gone or leaves is dropped before the next loss finds no majority

Change: a voter silent for two seconds is dropped where as many as the tolerance asks for are left and enough of them live; one that gets SIGTERM tells the leader, which drops it at once on the same terms. Either joins again when it is back. What a control node starts with (settings, disk) is in a file of its own.

--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -31,6 +31,15 @@
     send(*best, TransferLeadership{hard_.term});
 }
 
+void Replica::depart(Time now) {
+    if (role_ == Role::leader) return transfer_leadership(now);
+    if (leader_) send(*leader_, Departure{hard_.term});
+}
+
+void Replica::on(const ReplicaId& from, const Departure&, Time) {
+    if (role_ == Role::leader) peers_[from].departs = true;
+}
+
 void Replica::change_voters(Time now) {
     if (transferring_ || committed_ != last().index || committed_ < own_term_index_) return;
     if (!is_voter(self_)) return follow(hard_.term, std::nullopt, now);
@@ -69,27 +78,27 @@
     return role_ == Role::leader ? is_everywhere() : copied_;
 }
 
-// One whose machine has come back with another disk; or one silent for long, where enough others live.
+// One whose machine has come back with another disk; or one that is silent or about to end, where enough others live.
 std::optional<ReplicaId> Replica::voter_to_remove(Time now) const {
     size_t live = 1, counting = options_.counts;
     for (const auto& voter : voters()) {
         const auto peer = peers_.find(voter);
         if (voter == self_ || peer == peers_.end() || now - peer->second.heard >= recently) continue;
-        ++live;
+        live += !peer->second.departs;
         counting += peer->second.may_vote;
     }
+    const size_t others = voters().size() - 1;
+    const bool enough_live = others >= options_.least_voters && live > others / 2 + 1;
     for (const auto& voter : voters()) {
         if (voter == self_) continue;
-        const auto known = peers_.find(voter);
-        const Time heard = known == peers_.end() ? long_ago : known->second.heard;
+        const auto found = peers_.find(voter);
+        const Peer peer = found == peers_.end() ? Peer{} : found->second;
         // One that does not count goes once those that do are a majority without it, and none of them waits to join.
-        const bool counts = known == peers_.end() || known->second.may_vote || known->second.met <= long_ago;
-        if (!counts && counting > (voters().size() - 1) / 2 && !voter_to_add(now)) return voter;
+        const bool counts = found == peers_.end() || peer.may_vote || peer.met <= long_ago;
+        if (!counts && counting > others / 2 && !voter_to_add(now)) return voter;
         if (is_replaced(voter, now)) return voter;
-        if (now - heard < recently) continue;
-        const size_t others = voters().size() - 1;
-        if (now - heard > options_.silent_voter && others >= options_.least_voters && live > others / 2 + 1)
-            return voter;
+        const bool leaves = peer.departs || now - peer.heard > options_.silent_voter;
+        if (leaves && enough_live) return voter;
     }
     return {};
 }
@@ -102,7 +111,7 @@
         const bool machine_votes =
             std::any_of(voters().begin(), voters().end(),
                         [&endpoint = id.endpoint](const auto& voter) { return voter.endpoint == endpoint; });
-        if (peer.may_vote && caught_up && !machine_votes) return id;
+        if (peer.may_vote && caught_up && !machine_votes && !peer.departs) return id;
     }
     return {};
 }
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -68,6 +68,11 @@
     known.met = now;
 }
 
+void Replica::greeted(const ReplicaId& peer, bool may_vote, Time now) {
+    met(peer, may_vote, now);
+    if (peer != self_) peers_[peer].departs = false;
+}
+
 void Replica::received(const ReplicaId& from, const Message& message, Time now) {
     if (from == self_) return;
     if (const auto peer = peers_.find(from); peer != peers_.end()) peer->second.met = now;
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -33,8 +33,10 @@
     Span first_election{0.15};   // after a start, when there may be no leader at all; and as much again by chance
     Span next_election{0.25};    // while none has been heard of since the start; and twice as much by chance
     Span resend{1};              // an entry that is not acknowledged is sent again after this
-    Span silent_voter{10};       // a voter silent for this long may be replaced
-    size_t least_voters = 3;     // silence removes none below this
+    // A voter silent for this long is dropped where enough others live: what is lost next may be one of those. It joins
+    // again when it is heard of. Well within the time after which a machine that is back no longer counts as lost.
+    Span silent_voter{2};
+    size_t least_voters = 3;   // silence removes none below this
     size_t most_voters = 7;
     bool counts = true;        // this replica's machine has a disk that counts; else it votes only from the
                                // first start on, until others that count have taken over
@@ -91,12 +93,14 @@
 
     // A peer that can be reached and may vote (it has a disk that counts). The leader makes it a voter.
     void met(const ReplicaId& peer, bool may_vote, Time now);
+    void greeted(const ReplicaId& peer, bool may_vote, Time now);   // by a process that has just connected
 
     // The leader's: makes the state the next entry. Nothing where this replica does not lead.
     std::optional<Position> propose(ClusterState state, Time now);
     // At the leader or, by way of the leader, at any other replica. Nothing where no leader is known.
     std::optional<uint64_t> barrier(BarrierAt at, Time now);
     void transfer_leadership(Time now);   // to the most current voter, where this replica leads
+    void depart(Time now);                // this process is about to end: leadership goes, the leader is told
 
     std::vector<Output> take_outputs() { return std::exchange(outputs_, {}); }
 
@@ -117,6 +121,7 @@
 private:
     struct Peer {
         bool may_vote = false;
+        bool departs = false;    // its process is about to end
         Time met = long_ago;     // last proof that it can be reached
         Time heard = long_ago;   // when the newest round that it has answered was sent by this leader
         Position held;           // on its disk, as far as known
@@ -144,6 +149,7 @@
     void on(const ReplicaId& from, const TransferLeadership& transfer, Time now);
     void on(const ReplicaId& from, const ReadRequest& request, Time now);
     void on(const ReplicaId& from, const ReadReply& reply, Time now);
+    void on(const ReplicaId& from, const Departure& departure, Time now);
 
     void send(const ReplicaId& to, Message message);
     void follow(uint64_t term, std::optional<ReplicaId> leader, Time now);
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -111,6 +111,14 @@
     bool operator==(const ReadReply&) const = default;
 };
 
-using Message = std::variant<VoteRequest, VoteReply, Append, AppendReply, TransferLeadership, ReadRequest, ReadReply>;
+// The sender's process is about to end. The leader drops it from the voters where enough others live, so that what is
+// lost next does not leave them without a majority.
+struct Departure {
+    uint64_t term = 0;
+    bool operator==(const Departure&) const = default;
+};
+
+using Message =
+    std::variant<VoteRequest, VoteReply, Append, AppendReply, TransferLeadership, ReadRequest, ReadReply, Departure>;
 
 }   // namespace myrtleroute::consensus
--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -68,6 +68,8 @@
 }
 void to_json(Json& j, const TransferLeadership& m) { j = {{"term", m.term}}; }
 void from_json(const Json& j, TransferLeadership& m) { j.at("term").get_to(m.term); }
+void to_json(Json& j, const Departure& m) { j = {{"term", m.term}}; }
+void from_json(const Json& j, Departure& m) { j.at("term").get_to(m.term); }
 void to_json(Json& j, const ReadRequest& m) { j = {{"term", m.term}, {"number", m.number}}; }
 void from_json(const Json& j, ReadRequest& m) { j.at("term").get_to(m.term), j.at("number").get_to(m.number); }
 void to_json(Json& j, const ReadReply& m) { j = {{"term", m.term}, {"number", m.number}, {"index", m.index}}; }
@@ -122,6 +124,7 @@
 MYRTLEROUTE_KIND(consensus::TransferLeadership, "transfer");
 MYRTLEROUTE_KIND(consensus::ReadRequest, "read");
 MYRTLEROUTE_KIND(consensus::ReadReply, "read_at");
+MYRTLEROUTE_KIND(consensus::Departure, "departs");
 MYRTLEROUTE_KIND(PeerHello, "hello");
 MYRTLEROUTE_KIND(ConsensusMessage, "consensus");
 MYRTLEROUTE_KIND(HostsTold, "hosts");
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -123,7 +123,7 @@
         const auto [known, fresh] = known_.try_emplace(node.peer, node);
         if (!fresh && known->second.zone.empty()) known->second = node;
     }
-    replica_.met(hello.replica, hello.may_vote, now);
+    replica_.greeted(hello.replica, hello.may_vote, now);
 }
 
 void Node::handle(LinkNumber link, const messages::ConsensusMessage& message, Time now) {
@@ -297,7 +297,7 @@
 }
 
 void Node::stopping(Time now) {
-    replica_.transfer_leadership(now);
+    replica_.depart(now);
     carry_out(now);
 }
 
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -51,7 +51,7 @@
     void link_closed(LinkNumber link);
     void persisted(uint64_t number, Time now);   // the writes up to that number are safe
     void tick(Time now);
-    void stopping(Time now);   // hands leadership over
+    void stopping(Time now);   // hands leadership over, or tells the leader that this node leaves
     bool may_leave() const;    // once it is stopping: it does not lead, and others hold what it holds
 
     Outputs take_outputs() { return std::exchange(outputs_, {}); }
--- a/src/roles/control/runtime.cpp
+++ b/src/roles/control/runtime.cpp
@@ -14,6 +14,7 @@
 #include "roles/control/http_api.hpp"
 #include "roles/control/node.hpp"
 #include "roles/control/peer_network.hpp"
+#include "roles/control/start.hpp"
 #include "roles/log.hpp"
 #include "storage/posix_files.hpp"
 
@@ -32,52 +33,6 @@
     return (static_cast<uint64_t>(source()) << 32 | source()) >> 1;
 }
 
-Endpoint peer_endpoint(const configuration::NodeSettings& settings, const std::string& address) {
-    return {address, settings.first_internal_port};
-}
-
-NodeOptions node_options(const configuration::NodeSettings& settings) {
-    NodeOptions options;
-    options.self = {peer_endpoint(settings, settings.address), *settings.control, settings.zone};
-    for (const auto& seed : settings.seeds) options.seeds.push_back({peer_endpoint(settings, seed.address), seed, ""});
-    options.may_vote = options.replica.counts = settings.counts_for_quorum;
-    options.replica.least_voters = 2 * static_cast<size_t>(settings.tolerated_machines) + 1;
-    options.hosts.lost_after = settings.heartbeat * 3.7;
-    options.seed = random_number();
-    return options;
-}
-
-// The first start of the whole system: the seeds are the voters, and all of them begin with the same entry.
-StoredState first_state(const configuration::NodeSettings& settings) {
-    StoredState state;
-    const auto self = peer_endpoint(settings, settings.address);
-    consensus::ClusterState cluster;
-    for (const auto& seed : settings.seeds) cluster.voters.push_back({peer_endpoint(settings, seed.address), 0});
-    std::sort(cluster.voters.begin(), cluster.voters.end());
-    const bool is_seed = std::any_of(cluster.voters.begin(), cluster.voters.end(),
-                                     [&](const auto& voter) { return voter.endpoint == self; });
-    if (settings.bootstrap && is_seed)
-        state.entry = consensus::Entry{{0, 1}, std::move(cluster)};
-    else
-        state.disk = random_number();
-    return state;
-}
-
-// With a damaged disk the replica that was here must not go on: it may have forgotten a vote or an entry.
-StoredState stored_state(const storage::Records& records, const configuration::NodeSettings& settings,
-                         bool is_damaged) {
-    StoredState state = is_damaged ? StoredState{random_number(), {}, {}, {}} : first_state(settings);
-    for (const auto& json : records) {
-        auto record = messages::decode_record(json);
-        if (!record) continue;
-        state.disk = record->disk;
-        if (record->hard_state) state.hard_state = *record->hard_state;
-        if (record->entry) state.entry = std::move(record->entry);
-        if (record->hosts) state.hosts = std::move(*record->hosts);
-    }
-    return state;
-}
-
 class Runtime {
 public:
     explicit Runtime(const configuration::NodeSettings& settings)
@@ -104,9 +59,13 @@
 
 private:
     int start() {
-        storage::Records records;
-        if (!settings_.data_directory.empty() && !open_disk(records)) return exit_fault;
-        node_ = std::make_unique<Node>(node_options(settings_), stored_state(records, settings_, is_damaged_), now());
+        storage::Recovered found;
+        if (!settings_.data_directory.empty() && !open_disk(found)) return exit_fault;
+        if (found.damaged)
+            log_error() << "dataDir: " << settings_.data_directory
+                        << ": records that were safe can't be read; this node joins as a new replica";
+        node_ = std::make_unique<Node>(node_options(settings_, random_number()),
+                                       stored_state(found, settings_, random_number()), now());
         const auto at = peer_endpoint(settings_, settings_.address);
         try {
             network_.listen(at);
@@ -131,17 +90,12 @@
         return 0;
     }
 
-    bool open_disk(storage::Records& records) {
+    bool open_disk(storage::Recovered& found) {
         for (;;) {
             auto opened = storage::open_files(settings_.data_directory, ring_files, storage::RingOptions{}.file_bytes);
             if (auto* files = std::get_if<0>(&opened)) {
                 storage::RecordRing ring(std::move(*files), {});
-                auto recovered = ring.recover();
-                if (recovered.damaged)
-                    log_error() << "dataDir: " << settings_.data_directory
-                                << ": records that were safe can't be read; this node joins as a new replica";
-                is_damaged_ = recovered.damaged;
-                records = std::move(recovered.records);
+                found = ring.recover();
                 disk_ = std::make_unique<DiskWriter>(std::move(ring), [this](uint64_t number) {
                     asio::post(context_, [this, number] { persisted(number); });
                 });
@@ -210,7 +164,7 @@
 
     // Leadership first, and then the copies: what only this disk holds would be lost with it.
     void leave() {
-        if (node_->replica().role() == consensus::Role::leader) node_->stopping(now());
+        node_->stopping(now());
         carry_out();
         leave_.expires_after(leave_after);
         leave_.async_wait([this](asio::error_code) {
@@ -229,7 +183,6 @@
     std::unique_ptr<DiskWriter> disk_;
     std::map<RequestNumber, std::string> orders_;   // that wait for their answer, for the log
     Time leave_until_;
-    bool is_damaged_ = false;
     int exit_code_ = 0;
 };
 
--- a/tests/system/messages_test.cpp
+++ b/tests/system/messages_test.cpp
@@ -27,6 +27,7 @@
             ConsensusMessage{77, consensus::Append{3, 9, {3, 6}, 5, true, 8, std::nullopt}},
             ConsensusMessage{77, consensus::AppendReply{3, 9, {3, 6}}},
             ConsensusMessage{77, consensus::TransferLeadership{3}},
+            ConsensusMessage{77, consensus::Departure{3}},
             ConsensusMessage{77, consensus::ReadRequest{3, 12}},
             ConsensusMessage{77, consensus::ReadReply{3, 12, 6}},
             HostsTold{{host}, 4, true},
--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -19,10 +19,9 @@
     std::vector<SendTo> sent;
     std::vector<BarrierPassed> passed;
 
-    explicit Alone(HardState hard_state = {}, uint64_t version = 0) {
+    explicit Alone(HardState hard_state = {}, int voters = 3) {
         ClusterState state;
-        state.voters = {replica(1), replica(2), replica(3)};
-        state.version = version;
+        for (int i = 1; i <= voters; ++i) state.voters.push_back(replica(i));
         self = std::make_unique<Replica>(replica(1), hard_state, Entry{{0, 1}, state}, ReplicaOptions{}, 1, now);
     }
     void collect() {
@@ -50,14 +49,15 @@
                 if (const auto* message = std::get_if<Kind>(&it->message)) return *message;
         return {};
     }
-    // Elected by the votes of the other two, which then hold its first entry.
+    // Elected by the votes of the others, which then hold its first entry.
     void lead() {
+        const int voters = static_cast<int>(self->entry()->state.voters.size());
+        for (int other = 2; other <= voters; ++other) self->greeted(replica(other), true, now);
         while (!last<VoteRequest>(2)) pass(Span{0.05});
-        hear(2, VoteReply{true, last<VoteRequest>(2)->term, true});
-        const auto term = last<VoteRequest>(2)->term;
-        hear(2, VoteReply{false, term, true});
-        answer(2);
-        answer(3);
+        const auto trial = last<VoteRequest>(2)->term;
+        for (int other = 2; other <= voters; ++other) hear(other, VoteReply{true, trial, true});
+        for (int other = 2; other <= voters; ++other) hear(other, VoteReply{false, trial, true});
+        for (int other = 2; other <= voters; ++other) answer(other);
     }
     void answer(int from, uint64_t disk = 0) {
         const auto append = last<Append>(from);
@@ -205,3 +205,55 @@
     alone.answer(3);
     CHECK(alone.self->is_copied());
 }
+
+TEST_CASE("of four voters one that is silent for two seconds is dropped, of three none is") {
+    for (const int voters : {3, 4}) {
+        CAPTURE(voters);
+        Alone alone({}, voters);
+        alone.lead();
+        REQUIRE(alone.self->role() == Role::leader);
+        for (int i = 0; i < 60; ++i) {   // the last one says nothing for three seconds
+            alone.pass(Span{0.05});
+            for (int other = 2; other < voters; ++other) alone.answer(other);
+        }
+        REQUIRE(alone.self->role() == Role::leader);
+        CHECK(alone.self->is_voter(replica(voters)) == (voters == 3));
+    }
+}
+
+TEST_CASE(
+    "a voter that says that it ends is dropped at once where enough others live, and joins again when it is back") {
+    Alone alone({}, 4);
+    alone.lead();
+    alone.pass(Span{0.3});
+    for (int other = 2; other <= 4; ++other) alone.answer(other);
+    alone.hear(4, Departure{alone.self->term()});
+    alone.pass(Span{0.1});
+    CHECK_FALSE(alone.self->is_voter(replica(4)));
+    for (int i = 0; i < 4; ++i) {
+        for (int other = 2; other <= 4; ++other) alone.answer(other);
+        alone.pass(Span{0.1});
+    }
+    CHECK_FALSE(alone.self->is_voter(replica(4)));   // it still answers, and is about to end
+    alone.self->greeted(replica(4), true, alone.now);
+    alone.pass(Span{0.3});
+    for (int other = 2; other <= 4; ++other) alone.answer(other);
+    alone.pass(Span{0.1});
+    CHECK(alone.self->is_voter(replica(4)));
+}
+
+TEST_CASE("a follower that is about to end tells its leader, a leader hands its leadership over") {
+    Alone follower;
+    follower.hear(2, append(4, 1, {0, 1}, 1, 0));
+    follower.self->depart(follower.now);
+    follower.collect();
+    CHECK(follower.last<Departure>(2));
+    Alone leader;
+    leader.lead();
+    leader.pass(Span{0.3});
+    leader.answer(2);
+    leader.answer(3);
+    leader.self->depart(leader.now);
+    leader.collect();
+    CHECK((leader.last<TransferLeadership>(2) || leader.last<TransferLeadership>(3)));
+}
