The control plane in a virtual world: real nodes and rings on virtual disks, network and clock

Operators that race and resend, hosts that drain and leave, proxies that subscribe, twenty kinds of faults drawn from a seed, thirteen invariants checked as things happen, a linearizability check of orders and readings against a plain register, shrinking.

--- /dev/null
+++ b/src/lab/control/callers.cpp
@@ -0,0 +1,323 @@
+#include "lab/control/callers.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace myrtleroute::lab::control {
+
+using myrtleroute::control::Answer;
+using myrtleroute::control::HttpRequest;
+
+namespace {
+
+constexpr Span answer_within{1};
+constexpr int most_tries = 14, most_redirects = 2;
+constexpr double invalid_share = 0.06, reading_share = 0.25;
+constexpr Span beat_every{1.2}, serves_on{2};
+constexpr Span proxy_tick{0.2};
+
+std::string document(uint64_t version, uint64_t salt) {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"hostname":"h","pathPrefix":"/)" +
+           std::to_string(salt) + R"(/","timeoutMs":1000,"service":"s"}],"services":[{"name":"s"}]})";
+}
+
+}   // namespace
+
+uint64_t version_of(const std::string& body) {
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    return json.is_object() ? json.value("version", uint64_t{0}) : 0;
+}
+
+bool is_about_version(const std::string& answer) { return answer.find("\"/version\"") != std::string::npos; }
+
+// Operators.
+
+Operator::Operator(Queue& queue, Chance chance, const Platform& platform, Checker& checker,
+                   std::vector<Operation>& history)
+    : queue_(queue), chance_(chance), platform_(platform), checker_(checker), history_(history) {}
+
+void Operator::think() {
+    queue_.in({chance_.exponential(1.2)}, [this] {
+        if (stopped_) return;
+        if (!busy_) {
+            draw_order();
+            call(choose(), 0);
+        }
+        think();
+    });
+}
+
+void Operator::draw_order() {
+    busy_ = true;
+    tries_ = 0;
+    valid_ = true;
+    order_ = {};
+    if (chance_.yes(reading_share)) {
+        order_.reads = true;
+        body_.clear();
+        return;
+    }
+    order_.base = base_;
+    order_.version = base_ + 1 + static_cast<uint64_t>(chance_.below(2));   // often the other operator's number too
+    body_ = document(order_.version, chance_.number() % 100000);
+    valid_ = !chance_.yes(invalid_share);
+    if (!valid_) body_.resize(body_.size() / 2);
+    order_.body = checker_.number_of(body_);
+}
+
+void Operator::order_soon() {
+    draw_order();
+    order_ = {};
+    order_.base = base_;
+    order_.version = base_ + 1;
+    valid_ = true;
+    body_ = document(order_.version, chance_.number() % 100000);
+    order_.body = checker_.number_of(body_);
+    call(choose(), 0);
+}
+
+void Operator::read_now() {
+    busy_ = true;
+    tries_ = 0;
+    valid_ = true;
+    order_ = {};
+    order_.reads = true;
+    body_.clear();
+    call(choose(), 0);
+}
+
+Machine* Operator::choose() {
+    const auto machines = platform_.machines();
+    return machines.empty() ? nullptr : machines[static_cast<size_t>(chance_.below(static_cast<int>(machines.size())))];
+}
+
+void Operator::call(Machine* machine, int redirects) {
+    if (!machine) return try_again();
+    const auto number = ++call_;
+    auto operation = order_;
+    operation.invoked = queue_.now();
+    history_.push_back(operation);
+    const auto at = history_.size() - 1;
+    HttpRequest request;
+    request.method = order_.reads ? "GET" : "PUT";
+    request.path = "/config";
+    if (!order_.reads) request.if_match = std::to_string(order_.base);
+    request.body = body_;
+    platform_.ask(*machine, request, [this, number, at, machine, redirects](const std::optional<Answer>& answer) {
+        if (answer && platform_.loses_answers() && chance_.yes(0.7)) return;   // a time-out follows
+        if (number == call_) ended(at, machine, answer, redirects);
+    });
+    queue_.in(answer_within, [this, number, at, machine, redirects] {
+        if (number == call_) ended(at, machine, {}, redirects);
+    });
+}
+
+void Operator::ended(size_t at, Machine*, const std::optional<Answer>& answer, int redirects) {
+    ++call_;
+    auto& operation = history_[at];
+    operation.answered = queue_.now();
+    if (!answer || answer->status == 503 || answer->status == 408) return try_again();
+    if (answer->status == 307) {
+        operation.invoked = Time{1e17};   // it was not asked for anything
+        if (redirects < most_redirects) return call(platform_.machine_at(answer->location), redirects + 1);
+        return try_again();
+    }
+    if (order_.reads) {
+        operation.outcome = Operation::Outcome::read;
+        operation.version = last_read_ = base_ = answer->status == 200 ? version_of(answer->body) : 0;
+        operation.body = answer->status == 200 ? checker_.number_of(answer->body) : 0;
+    } else if (answer->status == 200) {
+        if (!valid_) checker_.breaks(Invariant::refused_stays_out, "an invalid order was confirmed");
+        operation.outcome = Operation::Outcome::accepted;
+        base_ = std::max(base_, order_.version);
+    } else {
+        const bool stale = answer->status == 412, old = answer->status == 400 && is_about_version(answer->body);
+        if (stale) operation.outcome = Operation::Outcome::stale;
+        if (old) operation.outcome = Operation::Outcome::old;
+        if (!stale && !old) operation.invoked = Time{1e17};   // refused whatever the state
+        if (valid_) return read_now();                        // what is current by now
+    }
+    done();
+}
+
+void Operator::try_again() {
+    if (++tries_ >= most_tries) return done();
+    queue_.in({chance_.between(0.05, 0.1 + 0.1 * tries_)}, [this, number = ++call_] {
+        if (number == call_) call(choose(), 0);
+    });
+}
+
+void Operator::done() { busy_ = false; }
+
+// Hosts.
+
+Announcer::Announcer(Queue& queue, Chance chance, const Platform& platform, Checker& checker, size_t number)
+    : queue_(queue), chance_(chance), platform_(platform), checker_(checker), number_(number) {}
+
+void Announcer::begin() { incarnate(); }
+
+void Announcer::incarnate() {
+    ++life_;
+    sequence_ = 0;
+    phase_ = Phase::ready;
+    id_ = "i-" + std::to_string(number_) + "-" + std::to_string(life_);
+    beat(life_);
+    queue_.in({chance_.between(4, 30)}, [this, life = life_] {
+        if (life == life_ && phase_ == Phase::ready) {
+            phase_ = Phase::draining;
+            tell(life, 6);
+        }
+    });
+}
+
+std::string Announcer::body() const {
+    const nlohmann::json body{
+        {"service", "s"},
+        {"address", "10.9." + std::to_string(number_) + "." + std::to_string(life_ % 250) + ":80"},
+        {"state", phase_ == Phase::ready ? "ready" : "draining"},
+        {"sequence", sequence_}};
+    return body.dump();
+}
+
+void Announcer::beat(uint64_t life) {
+    if (life != life_ || phase_ == Phase::leaving) return;
+    tell(life, 3);
+    queue_.in(beat_every, [this, life] { beat(life); });
+}
+
+// Calls one machine after the other until one acknowledges.
+void Announcer::tell(uint64_t life, int left) {
+    if (life != life_ || left <= 0) return;
+    const auto machines = platform_.machines();
+    if (machines.empty()) return;
+    if (!at_ || std::find(machines.begin(), machines.end(), at_) == machines.end())
+        at_ = machines[static_cast<size_t>(chance_.below(static_cast<int>(machines.size())))];
+    auto* const asked = at_;
+    const auto phase = phase_;
+    HttpRequest request;
+    request.method = phase == Phase::leaving ? "DELETE" : "PUT";
+    request.path = "/instances/" + id_;
+    ++sequence_;
+    if (phase != Phase::leaving) request.body = body();
+    const auto over = std::make_shared<bool>(false);
+    const auto next = [this, life, left, over] {
+        if (std::exchange(*over, true) || life != life_) return;
+        at_ = nullptr;
+        tell(life, left - 1);
+    };
+    platform_.ask(*asked, request, [this, life, phase, over, next](const std::optional<Answer>& answer) {
+        if (*over || life != life_) return;
+        if (!answer || answer->status != 200) return next();
+        *over = true;
+        if (phase == phase_) acknowledged(life);
+    });
+    queue_.in(answer_within, next);
+}
+
+void Announcer::acknowledged(uint64_t life) {
+    if (phase_ == Phase::draining) {
+        phase_ = Phase::serving_on;
+        queue_.in(serves_on + Span{chance_.between(0, 3)}, [this, life] {
+            if (life != life_) return;
+            phase_ = Phase::leaving;
+            tell(life, 8);
+            queue_.in({5}, [this, life] {
+                if (life == life_) incarnate();
+            });
+        });
+    } else if (phase_ == Phase::leaving) {
+        queue_.in({chance_.between(0.2, 2)}, [this, life] {
+            if (life == life_) incarnate();
+        });
+    }
+}
+
+// Proxies.
+
+SubscribedProxy::SubscribedProxy(Queue& queue, Network& network, Checker& checker, ProcessId process,
+                                 std::function<std::optional<ProcessId>(const Endpoint&)> find)
+    : queue_(queue), network_(network), checker_(checker), process_(process), find_(std::move(find)) {}
+
+void SubscribedProxy::start(const std::vector<messages::ControlNode>& seeds, uint64_t seed) {
+    ++life_;
+    hosts_ = registry::HostTable({});
+    version_ = 0;
+    connection_ = 0;
+    knows_hosts_ = false;
+    const auto name = "edge-" + std::to_string(process_);
+    subscriber_ = std::make_unique<proxy::Subscriber>(proxy::SubscriberOptions{name, "10.1.0." + name, "north", seed});
+    subscriber_->add_seeds(seeds);
+    network_.started(process_);
+    tick(life_);
+}
+
+void SubscribedProxy::end() {
+    if (!runs()) return;
+    subscriber_.reset();
+    network_.ended(process_, false);
+}
+
+void SubscribedProxy::tick(uint64_t life) {
+    if (life != life_ || !runs()) return;
+    subscriber_->tick(queue_.now());
+    carry_out();
+    queue_.in(proxy_tick, [this, life] { tick(life); });
+}
+
+void SubscribedProxy::opened(ConnectionId connection) {
+    if (connection != connection_) return;
+    confirmed_when_asked_ = checker_.newest_confirmed();
+    first_told_ = true;
+    subscriber_->opened(version_, queue_.now());
+    carry_out();
+}
+
+void SubscribedProxy::came(ConnectionId connection, const messages::Message& message) {
+    if (connection != connection_) return;
+    subscriber_->received(message, queue_.now());
+    carry_out();
+}
+
+void SubscribedProxy::closed(ConnectionId connection) {
+    if (connection != connection_) return;
+    connection_ = 0;
+    subscriber_->failed(queue_.now());
+    carry_out();
+}
+
+void SubscribedProxy::carry_out() {
+    for (auto outputs = subscriber_->take_outputs(); !outputs.empty(); outputs = subscriber_->take_outputs())
+        for (auto& output : outputs) {
+            if (const auto* open = std::get_if<proxy::OpenLink>(&output)) {
+                const auto to = find_(open->to);
+                connection_ = to ? network_.dial(process_, *to) : 0;
+                if (!to) subscriber_->failed(queue_.now());
+            } else if (auto* send = std::get_if<proxy::SendOnLink>(&output)) {
+                network_.send(connection_, process_, std::move(send->message));
+            } else if (std::holds_alternative<proxy::CloseLink>(output)) {
+                network_.close(std::exchange(connection_, 0), process_);
+            } else if (const auto* told = std::get_if<proxy::Told>(&output)) {
+                take(told->message);
+            } else {
+                network_.send(connection_, process_, messages::DemandTold{});
+            }
+        }
+}
+
+void SubscribedProxy::take(const messages::Message& message) {
+    if (const auto* told = std::get_if<messages::ConfigurationTold>(&message)) {
+        const auto text = "edge-" + std::to_string(process_) + " was told version " + std::to_string(told->version);
+        if (std::exchange(first_told_, false) && told->version < confirmed_when_asked_)
+            checker_.breaks(Invariant::proxy_starts_current,
+                            text + " after " + std::to_string(confirmed_when_asked_) + " had been confirmed");
+        if (told->version < version_)
+            checker_.breaks(Invariant::proxy_goes_on, text + " behind " + std::to_string(version_));
+        version_ = std::max(version_, told->version);
+    } else if (const auto* hosts = std::get_if<messages::HostsTold>(&message)) {
+        knows_hosts_ = true;
+        for (const auto& host : hosts->hosts) hosts_.merge(host, queue_.now());
+        hosts_.expire(queue_.now());
+    }
+}
+
+}   // namespace myrtleroute::lab::control
--- /dev/null
+++ b/src/lab/control/checker.cpp
@@ -0,0 +1,109 @@
+#include "lab/control/checker.hpp"
+
+#include <algorithm>
+
+namespace myrtleroute::lab::control {
+namespace {
+
+constexpr const char* names[] = {
+    "one_leader_a_term", "one_body_a_version", "copies_at_acknowledgement", "copies_before_a_loss",
+    "linearizable",      "refused_stays_out",  "confirmed_again",           "drain_on_disks",
+    "drain_known",       "proxy_goes_on",      "proxy_starts_current",      "nothing_lost",
+    "agreement"};
+static_assert(std::size(names) == static_cast<size_t>(Invariant::kinds));
+
+}   // namespace
+
+const char* name_of(Invariant invariant) { return names[static_cast<size_t>(invariant)]; }
+
+void Checker::breaks(Invariant invariant, const std::string& what) {
+    if (!broken_) broken_ = Break{invariant, queue_.now(), what};
+}
+
+uint64_t Checker::number_of(const std::string& body) {
+    const auto [known, fresh] = numbers_.try_emplace(body, bodies_.size() + 1);
+    if (fresh) bodies_.push_back(body);
+    return known->second;
+}
+
+void Checker::acted(const Machine& machine) {
+    if (!machine.node()) return;
+    const auto& replica = machine.node()->replica();
+    if (replica.role() == consensus::Role::leader) {
+        const auto [known, fresh] = leaders_.try_emplace(replica.term(), replica.self());
+        if (!fresh && known->second != replica.self())
+            breaks(Invariant::one_leader_a_term, "two leaders of term " + std::to_string(replica.term()));
+    }
+    const auto& entry = replica.entry();
+    if (!entry || replica.committed() < entry->position.index) return;
+    auto& looked_at = looked_at_[machine.process()];
+    if (looked_at == entry->position.index) return;
+    looked_at = entry->position.index;
+    const auto version = entry->state.version;
+    if (version == 0) return;
+    const auto [known, fresh] = committed_.try_emplace(version, entry->state.configuration);
+    if (!fresh && known->second != entry->state.configuration)
+        breaks(Invariant::one_body_a_version, "version " + std::to_string(version) + " was committed with two bodies");
+    const auto refused = refused_.find(version);
+    if (refused != refused_.end() && refused->second.count(entry->state.configuration))
+        breaks(Invariant::refused_stays_out, "version " + std::to_string(version) + " was refused and is committed");
+}
+
+size_t Checker::copies_of(uint64_t version, const std::vector<const Machine*>& machines) const {
+    return static_cast<size_t>(std::count_if(machines.begin(), machines.end(), [&](const auto* machine) {
+        const auto state = machine->safe_state();
+        return state.entry && state.entry->state.version >= version;
+    }));
+}
+
+void Checker::confirmed(const Operation& order, const std::vector<const Machine*>& machines) {
+    const auto [known, fresh] = confirmed_.try_emplace(order.version, order.body);
+    if (!fresh && known->second != order.body)
+        breaks(Invariant::one_body_a_version, "two bodies were confirmed as version " + std::to_string(order.version));
+    confirmed_bodies_.insert(order.body);
+    if (order.version <= newest_confirmed_) return;   // sent again
+    newest_confirmed_ = order.version;
+    const auto copies = copies_of(order.version, machines);
+    if (copies < tolerated_ + 1)
+        breaks(Invariant::copies_at_acknowledgement,
+               "version " + std::to_string(order.version) + " is on " + std::to_string(copies) + " disks");
+}
+
+void Checker::refused(const Operation& order) {
+    if (confirmed_bodies_.count(order.body))
+        breaks(Invariant::confirmed_again,
+               "version " + std::to_string(order.version) + " was confirmed and is refused");
+    const auto& text = body(order.body);
+    refused_[order.version].insert(text);
+    const auto committed = committed_.find(order.version);
+    if (committed != committed_.end() && committed->second == text)
+        breaks(Invariant::refused_stays_out, "version " + std::to_string(order.version) + " is committed and refused");
+}
+
+void Checker::drain_acknowledged(const std::string& host, registry::HostState state, const Machine& by,
+                                 const std::vector<const Machine*>& machines) {
+    auto& known = drains_[host];
+    if (known.first == state) return;
+    known = {state, queue_.now()};
+    if (!by.node() || !by.node()->replica().entry()) return;
+    const auto& voters = by.node()->replica().entry()->state.voters;
+    const auto holding = std::count_if(machines.begin(), machines.end(), [&](const auto* machine) {
+        const auto stored = machine->safe_state();
+        const consensus::ReplicaId id{machine->peer(), stored.disk};
+        if (!std::binary_search(voters.begin(), voters.end(), id)) return false;
+        return std::any_of(stored.hosts.begin(), stored.hosts.end(),
+                           [&](const auto& held) { return held.id == host && held.state >= state; });
+    });
+    if (2 * static_cast<size_t>(holding) <= voters.size())
+        breaks(Invariant::drain_on_disks, "the drain of " + host + " is on " + std::to_string(holding) + " of " +
+                                              std::to_string(voters.size()) + " voters' disks");
+}
+
+void Checker::before_a_loss(const std::vector<const Machine*>& machines) {
+    const auto copies = copies_of(newest_confirmed_, machines);
+    if (newest_confirmed_ > 0 && copies < tolerated_ + 1)
+        breaks(Invariant::copies_before_a_loss,
+               "version " + std::to_string(newest_confirmed_) + " is on " + std::to_string(copies) + " disks");
+}
+
+}   // namespace myrtleroute::lab::control
--- /dev/null
+++ b/src/lab/control/checker.hpp
@@ -0,0 +1,81 @@
+// What must hold in the virtual world, checked as things happen. docs/control-safety.md lists the invariants.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/control/history.hpp"
+#include "lab/control/machine.hpp"
+
+namespace myrtleroute::lab::control {
+
+enum class Invariant {
+    one_leader_a_term,
+    one_body_a_version,          // of what is committed, and of what is confirmed
+    copies_at_acknowledgement,   // on disks, of an order that is confirmed: one more than may be lost, and a majority
+    copies_before_a_loss,        // of the newest confirmed order, whenever nothing is out of order
+    linearizable,                // orders and readings
+    refused_stays_out,           // what was refused is never committed
+    confirmed_again,             // what was confirmed is not refused when it is sent again
+    drain_on_disks,              // of a majority of the voters when it is acknowledged
+    drain_known,                 // to every proxy in touch two seconds after its acknowledgement
+    proxy_goes_on,               // a proxy is never told an older configuration in one life
+    proxy_starts_current,        // nor begins one with an older one than was confirmed before it asked
+    nothing_lost,                // at the end the newest confirmed configuration, or a newer one, is read
+    agreement,                   // at the end, within a stated time
+    kinds
+};
+const char* name_of(Invariant invariant);
+
+struct Break {
+    Invariant invariant;
+    Time at;
+    std::string what;
+};
+
+class Checker {
+public:
+    Checker(const Queue& queue, size_t tolerated) : queue_(queue), tolerated_(tolerated) {}
+
+    void acted(const Machine& machine);   // after everything that a node does
+    // An order was confirmed by a machine; `machines` are all whose disks count.
+    void confirmed(const Operation& order, const std::vector<const Machine*>& machines);
+    void refused(const Operation& order);
+    void drain_acknowledged(const std::string& host, registry::HostState state, const Machine& by,
+                            const std::vector<const Machine*>& machines);
+    // Nothing is out of order at this moment: a disk may be lost.
+    void before_a_loss(const std::vector<const Machine*>& machines);
+    void breaks(Invariant invariant, const std::string& what);
+
+    uint64_t newest_confirmed() const { return newest_confirmed_; }
+    const std::optional<Break>& broken() const { return broken_; }
+    const std::map<std::string, std::pair<registry::HostState, Time>>& drains() const { return drains_; }
+
+private:
+    size_t copies_of(uint64_t version, const std::vector<const Machine*>& machines) const;
+
+    const Queue& queue_;
+    size_t tolerated_;
+    std::optional<Break> broken_;
+    std::map<uint64_t, consensus::ReplicaId> leaders_;   // by term
+    std::map<uint64_t, std::string> committed_;          // bodies by version
+    std::map<uint64_t, uint64_t> confirmed_;             // numbers of bodies by version
+    std::set<uint64_t> confirmed_bodies_;
+    std::map<ProcessId, uint64_t> looked_at_;                              // index of the entry
+    std::map<uint64_t, std::set<std::string>> refused_;                    // bodies by version
+    std::map<std::string, std::pair<registry::HostState, Time>> drains_;   // hosts that were acknowledged
+    uint64_t newest_confirmed_ = 0;
+
+public:
+    // Bodies have numbers, so that histories are small.
+    uint64_t number_of(const std::string& body);
+    const std::string& body(uint64_t number) const { return bodies_.at(number - 1); }
+
+private:
+    std::vector<std::string> bodies_;
+    std::map<std::string, uint64_t> numbers_;
+};
+
+}   // namespace myrtleroute::lab::control
--- /dev/null
+++ b/src/lab/control/main.cpp
@@ -0,0 +1,138 @@
+// Plays days of the control plane in a virtual world. Exit status: 0 every invariant held, 1 one broke, 2 what was asked is
+// at fault.
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "lab/control/world.hpp"
+#include "roles/log.hpp"
+
+namespace {
+
+using namespace myrtleroute::lab::control;
+
+constexpr int held = 0, broke = 1, at_fault = 2;
+constexpr size_t most_reports = 10;
+
+struct Totals {
+    Outcome sum;
+    double longest_agreement = 0;
+    uint64_t days = 0, broken = 0, digest = 0;
+    size_t pairs_met = 0;
+
+    void add(uint64_t seed, const Outcome& day) {
+        ++days;
+        broken += day.broken.has_value();
+        digest ^= day.digest * (2 * seed + 1);
+        sum.steps += day.steps;
+        sum.confirmed += day.confirmed;
+        sum.refused += day.refused;
+        sum.readings += day.readings;
+        sum.unclear += day.unclear;
+        sum.drains += day.drains;
+        sum.undecided += day.undecided;
+        longest_agreement = std::max(longest_agreement, day.agreed_after);
+        for (size_t i = 0; i < fault_kinds; ++i) {
+            sum.met[i] += day.met[i];
+            for (size_t j = 0; j < fault_kinds; ++j) sum.pairs[i][j] += day.pairs[i][j];
+        }
+    }
+    void print(std::ostream& out, bool with_pairs) const {
+        out << sum.confirmed << " orders confirmed, " << sum.refused << " refused, " << sum.unclear
+            << " calls without a clear answer, " << sum.readings << " readings, " << sum.drains << " hosts drained, "
+            << sum.undecided
+            << " histories undecided\nlongest time to agreement after the last fault: " << std::setprecision(3)
+            << longest_agreement << " s\nfaults met:";
+        for (size_t i = 0; i < fault_kinds; ++i) out << ' ' << name_of(static_cast<FaultKind>(i)) << ' ' << sum.met[i];
+        size_t met = 0, possible = 0;
+        for (size_t i = 0; i < fault_kinds; ++i)
+            for (size_t j = i; j < fault_kinds; ++j) {
+                ++possible;
+                met += sum.pairs[i][j] > 0;
+            }
+        out << "\npairs of faults at one time: " << met << " of " << possible << '\n';
+        if (!with_pairs) return;
+        for (size_t i = 0; i < fault_kinds; ++i)
+            for (size_t j = i; j < fault_kinds; ++j)
+                out << "  " << name_of(static_cast<FaultKind>(i)) << " + " << name_of(static_cast<FaultKind>(j)) << ' '
+                    << sum.pairs[i][j] << '\n';
+    }
+};
+
+void report(std::ostream& out, uint64_t seed, const Break& broken) {
+    out << "seed " << seed << ", at " << std::fixed << std::setprecision(3) << broken.at.s - 100
+        << " s: " << name_of(broken.invariant) << ": " << broken.what << std::defaultfloat << '\n';
+}
+
+int sweep(uint64_t from, uint64_t seeds, unsigned jobs, bool first, bool with_pairs) {
+    const auto began = std::chrono::steady_clock::now();
+    std::atomic<uint64_t> next{0};
+    std::mutex together;
+    Totals totals;
+    std::map<uint64_t, Break> breaks;
+    const auto work = [&] {
+        for (uint64_t n = 0; (n = next++) < seeds;) {
+            const auto day = play(draw_plan(from + n));
+            const std::lock_guard lock(together);
+            totals.add(from + n, day);
+            if (!day.broken) continue;
+            breaks.emplace(from + n, *day.broken);
+            if (first) next = seeds;
+        }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < jobs; ++i) threads.emplace_back(work);
+    for (auto& thread : threads) thread.join();
+    size_t reported = 0;
+    for (const auto& [seed, broken] : breaks)
+        if (++reported <= most_reports) report(std::cout, seed, broken);
+    totals.print(std::cout, with_pairs);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+    std::cout << totals.days << " days, " << totals.broken << " broke an invariant; digest " << std::hex
+              << totals.digest << std::dec << "; " << std::fixed << std::setprecision(1) << took.count() << " s, "
+              << static_cast<double>(totals.sum.steps) / 1e6 << " million steps\n";
+    return totals.broken ? broke : held;
+}
+
+int replay(uint64_t seed, bool shrinks) {
+    auto plan = draw_plan(seed);
+    if (shrinks) plan = shrink(plan);
+    std::cout << text_of(plan);
+    const auto day = play(plan, [](const std::string& line) { std::cout << line << '\n'; });
+    if (day.broken) report(std::cout, seed, *day.broken);
+    std::cout << "digest " << std::hex << day.digest << std::dec << " after " << day.steps << " steps\n";
+    return day.broken ? broke : held;
+}
+
+}   // namespace
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine command("The control plane on virtual disks, network and clock, under faults drawn from a seed.",
+                               ' ', "1.0.0");
+        std::vector<std::string> words{"sweep", "replay", "shrink"};
+        TCLAP::ValuesConstraint<std::string> verbs(words);
+        TCLAP::UnlabeledValueArg<std::string> verb("command", "sweep: many seeds; replay: one; shrink: its least plan.",
+                                                   true, "", &verbs, command);
+        TCLAP::ValueArg<uint64_t> from("", "from", "The first seed, or the only one.", false, 1, "seed", command);
+        TCLAP::ValueArg<uint64_t> seeds("", "seeds", "How many.", false, 1000, "count", command);
+        TCLAP::ValueArg<unsigned> jobs("", "jobs", "How many at a time.", false,
+                                       std::max(1U, std::thread::hardware_concurrency()), "count", command);
+        TCLAP::SwitchArg first("", "first", "Stop at the first break.", command);
+        TCLAP::SwitchArg pairs("", "pairs", "Print how often each pair of faults was met.", command);
+        command.parse(argc, argv);
+        myrtleroute::start_log(argc, argv, "error");
+        if (verb.getValue() == "sweep")
+            return sweep(from.getValue(), seeds.getValue(), std::max(1U, jobs.getValue()), first.getValue(),
+                         pairs.getValue());
+        return replay(from.getValue(), verb.getValue() == "shrink");
+    } catch (const TCLAP::ArgException& fault) {
+        std::cerr << fault.argId() << ": " << fault.error() << '\n';
+        return at_fault;
+    }
+}
--- /dev/null
+++ b/src/lab/control/plan.cpp
@@ -0,0 +1,86 @@
+#include "lab/control/plan.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+#include "lab/chance.hpp"
+
+namespace myrtleroute::lab::control {
+namespace {
+
+constexpr uint64_t plan_stream = 0x504c414e;
+constexpr const char* names[] = {"kill",      "power_loss",      "kill_all",      "power_loss_all", "freeze",
+                                 "cut",       "cut_control",     "cut_inward",    "cut_outward",    "disk_hang",
+                                 "disk_full", "disk_slow",       "stop",          "wipe",           "rot",
+                                 "replace",   "replace_planned", "proxy_restart", "proxy_cut",      "answers_lost"};
+static_assert(std::size(names) == static_cast<size_t>(FaultKind::kinds));
+
+double draw_span(FaultKind kind, Chance& chance) {
+    switch (kind) {
+        case FaultKind::freeze:
+        case FaultKind::cut:
+        case FaultKind::cut_control:
+        case FaultKind::cut_inward:
+        case FaultKind::cut_outward: return chance.yes(0.3) ? chance.between(8, 21) : chance.between(0.3, 6);
+        case FaultKind::disk_hang:
+        case FaultKind::disk_full:
+        case FaultKind::disk_slow:
+        case FaultKind::answers_lost: return chance.between(1, 8);
+        case FaultKind::kill_all:
+        case FaultKind::power_loss_all: return chance.between(0.1, 0.9);
+        default: return chance.between(0.2, 3);
+    }
+}
+
+Fault draw_fault(double length, Chance& chance) {
+    Fault fault;
+    fault.kind = static_cast<FaultKind>(chance.below(static_cast<int>(FaultKind::kinds)));
+    fault.target = static_cast<Target>(chance.below(3));
+    fault.at = chance.between(4, length);
+    fault.span = draw_span(fault.kind, chance);
+    fault.lot = static_cast<uint32_t>(chance.number());
+    fault.after_acknowledgement = chance.yes(0.35);
+    return fault;
+}
+
+}   // namespace
+
+const char* name_of(FaultKind kind) { return names[static_cast<size_t>(kind)]; }
+
+bool loses_disk(FaultKind kind) {
+    return kind == FaultKind::wipe || kind == FaultKind::rot || kind == FaultKind::replace ||
+           kind == FaultKind::replace_planned;
+}
+
+Plan draw_plan(uint64_t seed) {
+    Chance chance(seed, plan_stream);
+    Plan plan;
+    plan.seed = seed;
+    const int shape = chance.below(8);   // three or four machines, five now and then
+    plan.joiners = shape == 7 ? 2 : static_cast<size_t>(shape % 2);
+    plan.tolerated = shape == 7 ? 2 : 1;
+    plan.orderly = chance.yes(0.7);
+    const int count = 2 + chance.below(9);
+    for (int i = 0; i < count; ++i) {
+        const auto fault = draw_fault(plan.length, chance);
+        if (plan.orderly || !loses_disk(fault.kind)) plan.faults.push_back(fault);
+    }
+    std::sort(plan.faults.begin(), plan.faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+    return plan;
+}
+
+std::string text_of(const Plan& plan) {
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << "seed " << plan.seed << ": " << plan.seeds + plan.joiners
+         << " control machines, " << plan.tolerated << " tolerated, " << (plan.orderly ? "orderly" : "wild") << '\n';
+    for (const auto& fault : plan.faults) {
+        constexpr const char* targets[] = {"a machine by lot", "the leader", "the oldest disk"};
+        text << "  " << fault.at << " s  " << name_of(fault.kind) << " for " << fault.span << " s, "
+             << targets[static_cast<size_t>(fault.target)] << ' ' << fault.lot % 97
+             << (fault.after_acknowledgement ? ", right after the next acknowledgement" : "") << '\n';
+    }
+    return text.str();
+}
+
+}   // namespace myrtleroute::lab::control
--- /dev/null
+++ b/src/lab/control/plan.hpp
@@ -0,0 +1,62 @@
+// The plan of a day of the control plane: how many machines there are and which faults come when. Drawn from one seed.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "time.hpp"
+
+namespace myrtleroute::lab::control {
+
+// Of one control machine where nothing else is said.
+enum class FaultKind {
+    kill,              // the process ends; what it wrote stays
+    power_loss,        // and what was not synced may be lost
+    kill_all,          // every control process at once, back within a second
+    power_loss_all,    // every control machine at once, back within a second
+    freeze,            // it stands still; what was sent to it waits
+    cut,               // from all others
+    cut_control,       // from the other control machines only
+    cut_inward,        // it hears nothing
+    cut_outward,       // nobody hears it
+    disk_hang,         // its disk ends no write
+    disk_full,         // its disk refuses every write
+    disk_slow,         // thirty times as long
+    stop,              // SIGTERM, and it starts again
+    wipe,              // its disk is lost
+    rot,               // its disk loses bits of what was safe
+    replace,           // it is gone for good; an empty one comes at another address
+    replace_planned,   // the new one comes first, then the old one is stopped and its disk is gone
+    proxy_restart,     // of a proxy
+    proxy_cut,         // of a proxy
+    answers_lost,      // most of what the operators are answered
+    kinds
+};
+const char* name_of(FaultKind kind);
+bool loses_disk(FaultKind kind);
+
+// Which machine a fault strikes.
+enum class Target { lot, leader, oldest_disk };
+
+struct Fault {
+    FaultKind kind = FaultKind::kill;
+    Target target = Target::lot;
+    double at = 0;     // seconds from the start of the day
+    double span = 1;   // seconds
+    uint32_t lot = 0;
+    bool after_acknowledgement = false;   // waits until an order has just been acknowledged, and strikes who did
+};
+
+struct Plan {
+    uint64_t seed = 1;
+    size_t seeds = 3, joiners = 1;   // control machines: named by the settings, and others
+    size_t tolerated = 1;
+    bool orderly = true;   // no more machines are lost at once than is tolerated; else no disk is
+    double length = 40;    // seconds with faults
+    std::vector<Fault> faults;
+};
+
+Plan draw_plan(uint64_t seed);
+std::string text_of(const Plan& plan);
+
+}   // namespace myrtleroute::lab::control
