--- a/src/lab/control/machine.cpp
+++ b/src/lab/control/machine.cpp
@@ -150,7 +150,7 @@
                 dialled.up = false;
                 return;
             }
-        node_->link_closed(connection);
+        node_->link_closed(connection, queue_.now());
         carry_out();
     });
 }
--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -191,8 +191,10 @@
 void from_json(const Json& j, HostsConfirmed& m) { j.at("confirm").get_to(m.confirm); }
 void to_json(Json& j, const HostsHeard& m) { j = {{"sequences", m.sequences}}; }
 void from_json(const Json& j, HostsHeard& m) { j.at("sequences").get_to(m.sequences); }
-void to_json(Json& j, const ProxiesTold& m) { j = {{"proxies", m.proxies}}; }
-void from_json(const Json& j, ProxiesTold& m) { j.at("proxies").get_to(m.proxies); }
+void to_json(Json& j, const ProxiesTold& m) { j = {{"proxies", m.proxies}, {"departed", m.departed}}; }
+void from_json(const Json& j, ProxiesTold& m) {
+    j.at("proxies").get_to(m.proxies), j.at("departed").get_to(m.departed);
+}
 void to_json(Json& j, const Subscribe& m) { j = {{"node", m.node}, {"version", m.version}}; }
 void from_json(const Json& j, Subscribe& m) { j.at("node").get_to(m.node), j.at("version").get_to(m.version); }
 void to_json(Json& j, const DemandTold& m) { j = {{"demand", m.demand}}; }
--- a/src/messages/messages.hpp
+++ b/src/messages/messages.hpp
@@ -57,6 +57,7 @@
 // Proxies subscribed at the sender, with what is asked of each.
 struct ProxiesTold {
     std::map<std::string, Demand> proxies;   // by node name
+    Demand departed;                         // of those that have just left, all together
 };
 
 // First message of a proxy on its subscription.
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -107,9 +107,9 @@
     carry_out(now);
 }
 
-void Node::link_closed(LinkNumber link) {
+void Node::link_closed(LinkNumber link, Time now) {
     links_.erase(link);
-    proxies_.left(link);
+    proxies_.left(link, now);
     waiting_.erase(link);
     asked_for_.erase(link);
     proven_.erase(link);
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -48,7 +48,7 @@
     void request(const HttpRequest& request, Time now);
     void connected(const Endpoint& peer, Time now);   // the connection that this node keeps to a peer is up
     void received(LinkNumber link, const messages::Message& message, Time now);
-    void link_closed(LinkNumber link);
+    void link_closed(LinkNumber link, Time now);
     void persisted(uint64_t number, Time now);   // the writes up to that number are safe
     void tick(Time now);
     void stopping(Time now);   // hands leadership over, or tells the leader that this node leaves
--- a/src/roles/control/proxy_directory.cpp
+++ b/src/roles/control/proxy_directory.cpp
@@ -6,6 +6,17 @@
 namespace {
 
 constexpr Span stale{3};   // what another control node told longer ago no longer counts
+// A proxy's rates are averaged over a second and told within half of one: so much of what it granted is still to be
+// counted by the others when it ends.
+constexpr Span counts_on{2};
+constexpr size_t most_departed = 1024;
+
+void add(messages::Demand& total, const messages::Demand& demand) {
+    for (const auto& [tenant, rates] : demand) {
+        total[tenant].asked += rates.asked;
+        total[tenant].granted += rates.granted;
+    }
+}
 
 }   // namespace
 
@@ -14,7 +25,11 @@
     subscribers_[link] = {node, {}};
 }
 
-void ProxyDirectory::left(LinkNumber link) { subscribers_.erase(link); }
+void ProxyDirectory::left(LinkNumber link, Time now) {
+    auto left = subscribers_.extract(link);
+    if (left.empty() || left.mapped().demand.empty() || departed_.size() >= most_departed) return;
+    departed_.push_back({std::move(left.mapped().demand), now + counts_on});
+}
 
 void ProxyDirectory::demanded(LinkNumber link, messages::Demand demand) {
     if (const auto it = subscribers_.find(link); it != subscribers_.end()) it->second.demand = std::move(demand);
@@ -26,6 +41,7 @@
 
 void ProxyDirectory::tick(Time now) {
     std::erase_if(elsewhere_, [&](const auto& known) { return now - known.second.told > stale; });
+    while (!departed_.empty() && departed_.front().until <= now) departed_.pop_front();
 }
 
 std::vector<LinkNumber> ProxyDirectory::subscribers() const {
@@ -37,6 +53,7 @@
 messages::ProxiesTold ProxyDirectory::own() const {
     messages::ProxiesTold told;
     for (const auto& [link, subscriber] : subscribers_) told.proxies[subscriber.node] = subscriber.demand;
+    for (const auto& departed : departed_) add(told.departed, departed.demand);
     return told;
 }
 
@@ -55,11 +72,9 @@
         for (const auto& [node, demand] : known.proxies.proxies) by_node[node] = &demand;
     for (const auto& [link, subscriber] : subscribers_) by_node[subscriber.node] = &subscriber.demand;
     messages::Demand total;
-    for (const auto& [node, demand] : by_node)
-        for (const auto& [tenant, rates] : *demand) {
-            total[tenant].asked += rates.asked;
-            total[tenant].granted += rates.granted;
-        }
+    for (const auto& [node, demand] : by_node) add(total, *demand);
+    for (const auto& [by, known] : elsewhere_) add(total, known.proxies.departed);
+    for (const auto& departed : departed_) add(total, departed.demand);
     return total;
 }
 
--- a/src/roles/control/proxy_directory.hpp
+++ b/src/roles/control/proxy_directory.hpp
@@ -1,5 +1,6 @@
 // The proxies of the fleet, each one's place among them, and what tenants ask of all of them together.
 #pragma once
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -14,7 +15,8 @@
 public:
     // A proxy that subscribes here; one that does so again has only its newest subscription.
     void subscribed(LinkNumber link, const std::string& node);
-    void left(LinkNumber link);
+    // Its process may have ended: what it granted last has not been counted by all, so it counts on for a moment.
+    void left(LinkNumber link, Time now);
     void demanded(LinkNumber link, messages::Demand demand);
     // Proxies that subscribe at another control node.
     void told(const Endpoint& by, messages::ProxiesTold proxies, Time now);
@@ -38,7 +40,12 @@
         messages::ProxiesTold proxies;
         Time told;
     };
+    struct Departed {
+        messages::Demand demand;
+        Time until;
+    };
     std::map<LinkNumber, Subscriber> subscribers_;
+    std::deque<Departed> departed_;
     std::map<Endpoint, Elsewhere> elsewhere_;
 };
 
--- a/src/roles/control/runtime.cpp
+++ b/src/roles/control/runtime.cpp
@@ -43,7 +43,7 @@
                                   node_->received(link, message, now());
                                   carry_out();
                               },
-                              [this](LinkNumber link) { node_->link_closed(link); },
+                              [this](LinkNumber link) { node_->link_closed(link, now()); },
                               [this](const Endpoint& peer) {
                                   node_->connected(peer, now());
                                   carry_out();
--- a/src/roles/proxy/subscriber.cpp
+++ b/src/roles/proxy/subscriber.cpp
@@ -21,6 +21,8 @@
     link_ = Link::open;
     heard_ = now;
     outputs_.push_back(SendOnLink{messages::Subscribe{options_.node, version}});
+    outputs_.push_back(DemandDue{});   // at once: until then the sums lack it
+    demand_at_ = now + demand_every;
 }
 
 void Subscriber::failed(Time now) {
--- a/tests/system/routing_test.cpp
+++ b/tests/system/routing_test.cpp
@@ -118,17 +118,39 @@
 
 // Proxies that tell each other what they ask for, a moment late, before tenants whose demand is scripted.
 struct QuotaFleet {
-    static constexpr size_t proxies = 12;
+    size_t proxies = 12;
     static constexpr Span delay{0.5}, told_every{0.25};   // as the roles tell each other, at the slowest
     QuotaOptions options{140000, 0.1, Span{8}};
     double rate = 60000, burst = 90000;
     std::vector<Quotas> quotas = std::vector<Quotas>(proxies, Quotas(options));
     std::deque<std::pair<Time, std::map<std::string, QuotaRates>>> under_way;
     std::deque<std::pair<Time, double>> granted;
+    struct Departed {
+        std::map<std::string, QuotaRates> rates;
+        Time until;
+    };
+    std::vector<Departed> departed;
     Pcg chance{5};
     Time now{100}, tell_at{100};
     double refused = 0, asked = 0, worst = 0;
     bool cut_off = false;
+    std::vector<Time> down_until = std::vector<Time>(proxies, long_ago);
+    double mean_cost = 9000;
+
+    explicit QuotaFleet(size_t size = 12) : proxies(size) {}
+    // Processes of these are killed: their clients go to others, and they come back knowing nothing but the fleet's sums.
+    // The control role counts what they granted for a moment longer.
+    void kill(size_t count, Span down) {
+        for (size_t i = 0; i < count; ++i) {
+            departed.push_back({quotas[i].own(now), now + Span{2}});
+            quotas[i] = Quotas(options);
+            down_until[i] = now + down;
+        }
+    }
+    size_t running() const {
+        return static_cast<size_t>(
+            std::count_if(down_until.begin(), down_until.end(), [this](Time until) { return until <= now; }));
+    }
 
     // `demand`: units a second of all proxies together, in requests of many sizes.
     void play(Span length, double demand) {
@@ -136,26 +158,32 @@
         for (const Time end = now + length; now < end; now = now + step) {
             if (now >= tell_at) tell();
             while (!cut_off && !under_way.empty() && under_way.front().first <= now) {
-                for (auto& each : quotas) each.fleet(under_way.front().second, proxies, now);
+                for (auto& each : quotas) each.fleet(under_way.front().second, running(), now);
                 under_way.pop_front();
             }
-            constexpr double mean_cost = 9000;
-            if (chance.share() < demand * step.s / mean_cost) request(mean_cost * (0.2 + 1.6 * chance.share()));
+            for (double due = demand * step.s / mean_cost; due > chance.share(); due -= 1)
+                request(mean_cost * (0.2 + 1.6 * chance.share()));
         }
     }
     void tell() {
         tell_at = now + told_every;
         std::map<std::string, QuotaRates> total;
-        for (auto& each : quotas)
-            for (const auto& [tenant, rates] : each.own(now)) {
+        const auto add = [&](const std::map<std::string, QuotaRates>& told) {
+            for (const auto& [tenant, rates] : told) {
                 total[tenant].asked += rates.asked;
                 total[tenant].granted += rates.granted;
             }
+        };
+        for (auto& each : quotas) add(each.own(now));
+        for (const auto& left : departed)
+            if (now < left.until) add(left.rates);
         under_way.emplace_back(now + delay, total);
     }
     void request(double cost) {
         asked += cost;
-        auto& at = quotas[chance.next() % proxies];
+        auto number = chance.next() % proxies;
+        while (down_until[number] > now) number = chance.next() % proxies;
+        auto& at = quotas[number];
         if (!at.take("tenant", rate, burst, cost, now).granted) {
             refused += cost;
             return;
@@ -194,6 +222,24 @@
     }
 }
 
+TEST_CASE("a tenant over its quota stays within it while many proxies are killed and come back") {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(68);
+        fleet.rate = 870000;
+        fleet.burst = 1100000;
+        fleet.chance = Pcg(seed);
+        fleet.play(Span{10}, fleet.rate / 1.3);
+        fleet.play(Span{5.5}, 6 * fleet.rate / 1.3);
+        fleet.kill(28, Span{0.5});
+        fleet.play(Span{6}, 6 * fleet.rate / 1.3);
+        fleet.kill(40, Span{0.5});
+        fleet.play(Span{6}, 6 * fleet.rate / 1.3);
+        MESSAGE("the worst window, of the limit: " << fleet.worst / fleet.limit());
+        CHECK(fleet.worst <= fleet.limit());
+    }
+}
+
 TEST_CASE("out of touch with the fleet the sum stays within the quota") {
     QuotaFleet fleet;
     fleet.play(Span{10}, fleet.rate / 1.3);
