--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -185,6 +185,29 @@
     heartbeat(now);
 }
 
+std::string Replica::fingerprint(Time now) const {
+    const auto text = [](const Position& p) {
+        return std::to_string(p.term) + "/" + std::to_string(p.index) + " ";
+    };
+    std::string all = std::to_string(static_cast<int>(role_)) + (trial_ ? "t" : "") + (transferring_ ? "x" : "") +
+                      std::to_string(hard_.term) + (hard_.voted_for ? hard_.voted_for->text() : "-") + text(last()) +
+                      text(on_disk_) + std::to_string(durable_term_) + "c" + std::to_string(committed_) + "o" +
+                      std::to_string(own_term_index_) + (leader_ ? leader_->text() : "-");
+    if (entry_) all += std::to_string(entry_->state.version);
+    for (const auto& voter : voters()) all += "v" + voter.text();
+    for (const auto& granted : granted_) all += "g" + granted.text();
+    all += now - heard_leader_ < options_.least_election_timeout ? "L" : "";
+    for (const auto& [id, peer] : peers_) {
+        all += "p" + id.text() + text(peer.held) + text(peer.sent) + (peer.departs ? "d" : "");
+        all += now - peer.heard < options_.least_election_timeout ? "h"
+               : now - peer.heard < options_.silent_voter         ? "s"
+                                                                  : "";
+    }
+    for (const auto& write : writes_)
+        all += "w" + std::to_string(write.term) + text(write.held) + std::to_string(write.then.size());
+    return all;
+}
+
 // Time.
 
 void Replica::tick(Time now) {
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -117,6 +118,9 @@
     // Whether this replica's disk may be lost without loss: every voter that answers the leader has its last entry.
     bool is_copied() const;
     bool is_voter(const ReplicaId& id) const;
+    // What decides what it does next, without the numbers of rounds: two replicas with the same text act alike. For
+    // those who explore its states.
+    std::string fingerprint(Time now) const;
 
 private:
     struct Peer {
--- /dev/null
+++ b/src/lab/control/explorer.cpp
@@ -0,0 +1,317 @@
+#include "lab/control/explorer.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <unordered_set>
+#include <utility>
+
+#include "base/fnv.hpp"
+#include "consensus/replica.hpp"
+
+namespace myrtleroute::lab::control {
+namespace {
+
+using namespace consensus;
+
+constexpr Span beat_pause{0.25}, time_out_pause{2.5};
+constexpr uint64_t first_lost_disk = 100;
+
+// A machine with its replica and its disk.
+struct Slot {
+    ReplicaId id;
+    HardState disk_hard_state;
+    std::optional<Entry> disk_entry;
+    std::deque<Persist> writes;
+    std::optional<Replica> replica;
+};
+
+struct State {
+    Time now{100};
+    std::vector<Slot> slots;
+    std::map<std::pair<size_t, size_t>, std::deque<Message>> links;
+    int time_outs = 0, beats = 0, proposals = 0, crashes = 0, lost_disks = 0, breaks = 0;
+    std::map<uint64_t, ReplicaId> leaders;   // by term
+    uint64_t next_version = 1;
+    Position committed;   // the highest that a leader has seen committed, and its version
+    uint64_t committed_version = 0;
+};
+
+class Explorer {
+public:
+    explicit Explorer(const Exploration& what) : what_(what) {}
+
+    Explored run() {
+        auto first = first_state();
+        if (what_.elected) elect(first);
+        reach(std::move(first), no_parent, "start");
+        for (size_t depth = 0; depth < what_.depth && !frontier_.empty() && !result_.broken; ++depth) {
+            for (const auto& [state, node] : std::exchange(frontier_, {})) {
+                if (result_.broken || !result_.complete) break;
+                at_ = node;
+                expand(state);
+            }
+        }
+        result_.states = seen_.size();
+        return result_;
+    }
+
+private:
+    State first_state() {
+        State state;
+        ClusterState cluster;
+        for (size_t i = 0; i < what_.voters; ++i) cluster.voters.push_back({endpoint(i), 0});
+        state.time_outs = what_.time_outs;
+        state.beats = what_.beats;
+        state.proposals = what_.proposals;
+        state.crashes = what_.crashes;
+        state.lost_disks = what_.lost_disks;
+        state.breaks = what_.breaks;
+        for (size_t i = 0; i < what_.voters + what_.joiners; ++i) {
+            Slot slot;
+            slot.id = {endpoint(i), i < what_.voters ? 0 : i};
+            if (i < what_.voters) slot.disk_entry = Entry{{0, 1}, cluster};
+            state.slots.push_back(slot);
+            start(state, i);
+        }
+        return state;
+    }
+    // The first replica times out, and everything that follows happens at once and in order.
+    void elect(State& state) {
+        state.now = state.now + time_out_pause;
+        state.slots[0].replica->tick(state.now);
+        carry_out(state, 0);
+        for (bool busy = true; busy;) {
+            busy = false;
+            for (size_t i = 0; i < state.slots.size(); ++i)
+                for (; !state.slots[i].writes.empty(); busy = true) write(state, i);
+            for (auto& [link, messages] : state.links)
+                if (!messages.empty()) {
+                    receive(state, link.first, link.second);
+                    busy = true;
+                    break;
+                }
+        }
+    }
+    static Endpoint endpoint(size_t i) { return {"10.0.0." + std::to_string(i + 1), 7500}; }
+
+    void start(State& state, size_t i) {
+        auto& slot = state.slots[i];
+        slot.writes.clear();
+        slot.replica.emplace(slot.id, slot.disk_hard_state, slot.disk_entry, ReplicaOptions{}, 1, state.now);
+        for (auto& other : state.slots)
+            if (other.id != slot.id && other.replica) {
+                other.replica->greeted(slot.id, true, state.now);
+                slot.replica->greeted(other.id, true, state.now);
+            }
+    }
+
+    static size_t number_of(const State& state, const ReplicaId& id) {
+        for (size_t i = 0; i < state.slots.size(); ++i)
+            if (state.slots[i].id == id) return i;
+        return state.slots.size();
+    }
+
+    // Takes what a replica asks for, and checks what has changed.
+    void carry_out(State& state, size_t i) {
+        auto& slot = state.slots[i];
+        for (auto& output : slot.replica->take_outputs()) {
+            if (auto* send = std::get_if<SendTo>(&output)) {
+                const auto to = number_of(state, send->to);
+                if (to < state.slots.size()) state.links[{i, to}].push_back(std::move(send->message));
+            } else if (auto* persist = std::get_if<Persist>(&output)) {
+                slot.writes.push_back(std::move(*persist));
+            } else if (const auto* changed = std::get_if<LeadershipChanged>(&output)) {
+                if (changed->leads) began_to_lead(state, slot);
+            } else if (const auto* committed = std::get_if<Committed>(&output)) {
+                if (slot.replica->role() == Role::leader) saw_committed(state, slot, *committed);
+            }
+        }
+    }
+
+    void receive(State& state, size_t from, size_t to) {
+        auto& queue = state.links[{from, to}];
+        const auto message = std::move(queue.front());
+        queue.pop_front();
+        state.slots[to].replica->received(state.slots[from].id, message, state.now);
+        carry_out(state, to);
+    }
+
+    void write(State& state, size_t i) {
+        auto& slot = state.slots[i];
+        const auto write = std::move(slot.writes.front());
+        slot.writes.pop_front();
+        if (write.hard_state) slot.disk_hard_state = *write.hard_state;
+        if (write.entry) slot.disk_entry = write.entry;
+        slot.replica->persisted(write.number, state.now);
+        carry_out(state, i);
+    }
+
+    void began_to_lead(State& state, const Slot& slot) {
+        ++result_.elections;
+        const auto [known, fresh] = state.leaders.try_emplace(slot.replica->term(), slot.id);
+        if (!fresh && known->second != slot.id) breaks("two leaders of one term");
+        if (slot.replica->entry()->state.version < state.committed_version) breaks("a leader lacks what is committed");
+    }
+
+    void saw_committed(State& state, const Slot& slot, const Committed& committed) {
+        ++result_.commits;
+        const auto& entry = *slot.replica->entry();
+        if (entry.position.index != committed.position.index) return;
+        // A disk that was lost since has taken its copy with it.
+        auto copies = static_cast<size_t>(what_.lost_disks - state.lost_disks);
+        for (const auto& other : state.slots)
+            copies += other.disk_entry && other.disk_entry->position >= entry.position &&
+                      std::binary_search(entry.state.voters.begin(), entry.state.voters.end(), other.id);
+        if (2 * copies <= entry.state.voters.size()) breaks("an entry is committed without a majority's disks");
+        if (entry.position < state.committed) return;
+        state.committed = entry.position;
+        if (entry.state.version < state.committed_version) breaks("a later entry lacks what is committed");
+        state.committed_version = entry.state.version;
+    }
+
+    void breaks(const std::string& invariant) {
+        if (!result_.broken) result_.broken = invariant + ":" + path_to(at_) + " " + action_;
+    }
+    std::string path_to(size_t node) const {
+        if (node == no_parent) return {};
+        return path_to(nodes_[node].parent) + " " + nodes_[node].action + ";";
+    }
+
+    // A state is expanded once, when it is first reached: that is with as many actions left as it ever is.
+    void reach(State state, size_t parent, const std::string& action) {
+        if (!seen_.insert(fingerprint(state)).second) return;
+        if (seen_.size() >= what_.most_states) result_.complete = false;
+        nodes_.push_back({parent, action});
+        frontier_.emplace_back(std::move(state), nodes_.size() - 1);
+    }
+
+    void expand(const State& state) {
+        for (const auto& [link, messages] : state.links)
+            if (!messages.empty()) deliver(state, link.first, link.second);
+        for (size_t i = 0; i < state.slots.size(); ++i) act_at(state, i);
+        if (state.breaks > 0)
+            for (const auto& [link, messages] : state.links)
+                if (!messages.empty()) break_link(state, link);
+    }
+
+    template <class Change>
+    void step(const State& state, const std::string& action, Change change) {
+        if (result_.broken) return;
+        ++result_.transitions;
+        action_ = action;
+        State next = state;
+        change(next);
+        if (!result_.broken) reach(std::move(next), at_, action);
+    }
+
+    void deliver(const State& state, size_t from, size_t to) {
+        step(state, "deliver " + std::to_string(from) + ">" + std::to_string(to),
+             [&](State& next) { receive(next, from, to); });
+    }
+
+    void break_link(const State& state, std::pair<size_t, size_t> link) {
+        step(state, "break " + std::to_string(link.first) + ">" + std::to_string(link.second), [&](State& next) {
+            --next.breaks;
+            next.links[link].clear();
+        });
+    }
+
+    void act_at(const State& state, size_t i) {
+        const auto& slot = state.slots[i];
+        const auto number = std::to_string(i);
+        if (!slot.writes.empty()) step(state, "write at " + number, [&](State& next) { write(next, i); });
+        const bool leads = slot.replica->role() == Role::leader;
+        if (leads && state.beats > 0)
+            step(state, "beat of " + number, [&](State& next) {
+                --next.beats;
+                next.now = next.now + beat_pause;
+                next.slots[i].replica->tick(next.now);
+                carry_out(next, i);
+            });
+        if (!leads && state.time_outs > 0 && slot.replica->is_voter(slot.id))
+            step(state, "time-out at " + number, [&](State& next) {
+                --next.time_outs;
+                next.now = next.now + time_out_pause;
+                next.slots[i].replica->tick(next.now);
+                carry_out(next, i);
+            });
+        if (leads && state.proposals > 0)
+            step(state, "proposal at " + number, [&](State& next) {
+                --next.proposals;
+                auto proposed = next.slots[i].replica->entry()->state;
+                proposed.version = next.next_version++;
+                next.slots[i].replica->propose(std::move(proposed), next.now);
+                carry_out(next, i);
+            });
+        if (state.crashes > 0) step(state, "crash of " + number, [&](State& next) { crash(next, i, false); });
+        if (state.lost_disks > 0) step(state, "lost disk at " + number, [&](State& next) { crash(next, i, true); });
+    }
+
+    void crash(State& state, size_t i, bool loses_disk) {
+        --(loses_disk ? state.lost_disks : state.crashes);
+        auto& slot = state.slots[i];
+        for (auto& [link, messages] : state.links)
+            if (link.first == i || link.second == i) messages.clear();
+        if (loses_disk) {
+            slot.id.disk = first_lost_disk + static_cast<uint64_t>(state.lost_disks);
+            slot.disk_hard_state = {};
+            slot.disk_entry.reset();
+        }
+        start(state, i);
+    }
+
+    uint64_t fingerprint(const State& state) const {
+        std::string text;
+        for (const auto& slot : state.slots) {
+            text += slot.id.text() + slot.replica->fingerprint(state.now);
+            text += position(slot.disk_entry ? slot.disk_entry->position : Position{}) +
+                    std::to_string(slot.disk_hard_state.term) + "w" + std::to_string(slot.writes.size());
+        }
+        for (const auto& [link, messages] : state.links) {
+            text += "|" + std::to_string(link.first) + std::to_string(link.second);
+            for (const auto& message : messages) text += describe(message);
+        }
+        for (const int left :
+             {state.time_outs, state.beats, state.proposals, state.crashes, state.lost_disks, state.breaks})
+            text += "," + std::to_string(left);
+        return fnv1a(text + position(state.committed) + std::to_string(state.committed_version));
+    }
+    static std::string position(const Position& p) {
+        return std::to_string(p.term) + "/" + std::to_string(p.index) + " ";
+    }
+    static std::string describe(const Message& message) {
+        std::string text = std::to_string(message.index());
+        if (const auto* vote = std::get_if<VoteRequest>(&message))
+            text += std::to_string(vote->trial) + std::to_string(vote->term) + position(vote->last) +
+                    std::to_string(vote->transfer);
+        if (const auto* voted = std::get_if<VoteReply>(&message))
+            text += std::to_string(voted->trial) + std::to_string(voted->term) + std::to_string(voted->granted);
+        if (const auto* append = std::get_if<Append>(&message))
+            text += std::to_string(append->term) + position(append->last) + std::to_string(append->commit) +
+                    std::to_string(append->state.has_value()) +
+                    (append->state ? std::to_string(append->state->version) : "");
+        if (const auto* reply = std::get_if<AppendReply>(&message))
+            text += std::to_string(reply->term) + position(reply->held);
+        return text;
+    }
+
+    const Exploration& what_;
+    Explored result_;
+    struct Node {
+        size_t parent;
+        std::string action;
+    };
+    static constexpr size_t no_parent = static_cast<size_t>(-1);
+    std::unordered_set<uint64_t> seen_;   // fingerprints
+    std::vector<Node> nodes_;             // how each state was first reached
+    std::vector<std::pair<State, size_t>> frontier_;
+    size_t at_ = no_parent;   // the node that is expanded
+    std::string action_;
+};
+
+}   // namespace
+
+Explored explore(const Exploration& what) { return Explorer(what).run(); }
+
+}   // namespace myrtleroute::lab::control
--- a/src/lab/control/main.cpp
+++ b/src/lab/control/main.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <thread>
 
+#include "lab/control/explorer.hpp"
 #include "lab/control/world.hpp"
 #include "roles/log.hpp"
 
@@ -109,28 +110,71 @@
     return day.broken ? broke : held;
 }
 
+// Budgets that end within seconds each; `depth` above 0 replaces theirs.
+int explore_all(size_t depth, uint64_t states) {
+    struct Named {
+        const char* name;
+        Exploration what;
+    };
+    const Named explorations[] = {
+        {"first election: three voters, two time-outs", {3, 0, false, 60, 2, 0, 0, 0, 0, 0}},
+        {"three voters, a time-out, a proposal, a crash", {3, 0, true, 60, 1, 0, 1, 1, 0, 0}},
+        {"three voters, two time-outs, two proposals", {3, 0, true, 60, 2, 0, 2, 0, 0, 0}},
+        {"three voters, a time-out, two proposals, two broken connections", {3, 0, true, 60, 1, 1, 2, 0, 0, 2}},
+        {"three voters, a lost disk, a time-out, a proposal", {3, 0, true, 60, 1, 3, 1, 0, 1, 0}},
+        {"three voters and one that joins, a time-out, a proposal", {3, 1, true, 60, 1, 2, 1, 0, 0, 0}},
+        {"four voters, a time-out, a proposal, a crash", {4, 0, true, 60, 1, 0, 1, 1, 0, 0}},
+        {"four voters, a lost disk, a proposal", {4, 0, true, 60, 0, 4, 1, 0, 1, 0}},
+    };
+    bool sound = true;
+    for (const auto& [name, exploration] : explorations) {
+        auto what = exploration;
+        if (depth) what.depth = depth;
+        what.most_states = states;
+        const auto began = std::chrono::steady_clock::now();
+        const auto found = explore(what);
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+        std::cout << name << ": depth " << what.depth << ", " << found.states << " states"
+                  << (found.complete ? "" : " (the limit)") << ", " << found.transitions << " transitions, "
+                  << found.elections << " elections, " << found.commits << " commits, " << std::fixed
+                  << std::setprecision(1) << took.count() << " s\n";
+        if (found.broken) std::cout << "broken: " << *found.broken << '\n';
+        sound = sound && !found.broken;
+    }
+    return sound ? held : broke;
+}
+
 }   // namespace
 
 int main(int argc, char** argv) {
     try {
         TCLAP::CmdLine command("The control plane on virtual disks, network and clock, under faults drawn from a seed.",
                                ' ', "1.0.0");
-        std::vector<std::string> words{"sweep", "replay", "shrink"};
+        std::vector<std::string> words{"sweep", "replay", "shrink", "explore"};
         TCLAP::ValuesConstraint<std::string> verbs(words);
-        TCLAP::UnlabeledValueArg<std::string> verb("command", "sweep: many seeds; replay: one; shrink: its least plan.",
-                                                   true, "", &verbs, command);
+        TCLAP::UnlabeledValueArg<std::string> verb(
+            "command", "sweep: many seeds; replay: one; shrink: its least plan; explore: states of replicas.", true, "",
+            &verbs, command);
         TCLAP::ValueArg<uint64_t> from("", "from", "The first seed, or the only one.", false, 1, "seed", command);
         TCLAP::ValueArg<uint64_t> seeds("", "seeds", "How many.", false, 1000, "count", command);
         TCLAP::ValueArg<unsigned> jobs("", "jobs", "How many at a time.", false,
                                        std::max(1U, std::thread::hardware_concurrency()), "count", command);
+        TCLAP::ValueArg<size_t> depth("", "depth", "Actions on a path; 0: as many as end in seconds.", false, 0,
+                                      "count", command);
+        TCLAP::ValueArg<uint64_t> states("", "states", "States of an exploration at the most.", false, 60000, "count",
+                                         command);
         TCLAP::SwitchArg first("", "first", "Stop at the first break.", command);
         TCLAP::SwitchArg pairs("", "pairs", "Print how often each pair of faults was met.", command);
+        command.setExceptionHandling(false);   // a fault of the command line has an exit status of its own
         command.parse(argc, argv);
         myrtleroute::start_log(argc, argv, "error");
         if (verb.getValue() == "sweep")
             return sweep(from.getValue(), seeds.getValue(), std::max(1U, jobs.getValue()), first.getValue(),
                          pairs.getValue());
+        if (verb.getValue() == "explore") return explore_all(depth.getValue(), states.getValue());
         return replay(from.getValue(), verb.getValue() == "shrink");
+    } catch (const TCLAP::ExitException& asked) {
+        return asked.getExitStatus();
     } catch (const TCLAP::ArgException& fault) {
         std::cerr << fault.argId() << ": " << fault.error() << '\n';
         return at_fault;
