--- a/tests/system/proxy_test.cpp
+++ b/tests/system/proxy_test.cpp
@@ -314,3 +314,95 @@
     world.pass(Span{0.05});
     CHECK(world.asked());
 }
+
+TEST_CASE("a host is handed what the client said of model, tokens and prompt, and no more time than is left") {
+    ProxyWorld world(2);
+    world.tell(routes);
+    auto& client = world.client();
+    client.send(
+        "POST /idempotent/a?b=c HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Model: m\r\nX-Token-Count: "
+        "1460,80\r\n"
+        "X-Prompt-Prefix: 5c1e07a2:800,e4402b7d:250\r\nX-Tenant-Id: forged\r\nX-Deadline-Ms: 5000\r\nContent-Length: "
+        "1\r\n\r\nx");
+    world.pass(Span{1});
+    auto* first = world.asked();
+    REQUIRE(first);
+    const auto request = first->take();
+    CHECK(contains(request, "POST /idempotent/a?b=c HTTP/1.1\r\n"));
+    CHECK(contains(request, "X-Model: m\r\n"));
+    CHECK(contains(request, "X-Token-Count: 1460,80\r\n"));
+    CHECK(contains(request, "X-Prompt-Prefix: 5c1e07a2:800,e4402b7d:250\r\n"));
+    CHECK_FALSE(contains(request, "forged"));
+    const auto handed = [](const std::string& text) {
+        const auto at = text.find("X-Deadline-Ms: ");
+        return at == std::string::npos ? 1e9 : std::stod(text.substr(at + 15));
+    };
+    CHECK(handed(request) <= 5000);
+    first->reset();
+    world.pass(Span{0.3});
+    auto* second = world.asked();
+    REQUIRE(second);
+    CHECK(handed(second->received) <= 4100);   // a second has passed
+}
+
+TEST_CASE("a request is sent to no more hosts than its route allows") {
+    ProxyWorld world(4);
+    world.tell(ProxyWorld::route("idempotent", 2));
+    auto& client = world.client();
+    client.send(ProxyWorld::request("idempotent", "r1"));
+    for (int i = 0; i < 40; ++i) {
+        world.pass(Span{0.1});
+        for (const auto& host : world.hosts)
+            for (const auto& end : host->ends) end->reset();
+    }
+    CHECK(world.arrivals("r1") == 2);
+    const auto answer = client.take();
+    INFO(answer);
+    CHECK(contains(answer, "HTTP/1.1 50"));
+}
+
+TEST_CASE("a request that its client would wait for longer is answered when its route's time is over") {
+    ProxyWorld world(1);
+    world.tell(routes);
+    for (const std::string kind : {"non_idempotent", "streaming"}) {
+        CAPTURE(kind);
+        auto& client = world.client();
+        client.send("POST /" + kind + "/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + kind +
+                    "\r\nX-Deadline-Ms: 60000\r\nContent-Length: 1\r\n\r\nx");
+        world.pass(Span{6.4});
+        CHECK((contains(client.take(), "HTTP/1.1 50") || client.broken));
+    }
+}
+
+TEST_CASE("a proxy is not ready from its SIGTERM on, and not before it has hosts and a configuration") {
+    ProxyWorld world(1);
+    const auto asks = [&world] {
+        auto& probe = world.client(ProxyWorld::ready_port);
+        probe.send("GET /ready HTTP/1.1\r\nHost: r\r\n\r\n");
+        world.pass(Span{0.05});
+        return probe.take();
+    };
+    CHECK(contains(asks(), "HTTP/1.1 503"));
+    world.tell(routes);
+    CHECK(contains(asks(), "HTTP/1.1 200"));
+    world.signal(SIGTERM);
+    world.pass(Span{0.05});
+    CHECK_FALSE(contains(asks(), "HTTP/1.1 200"));
+}
+
+TEST_CASE("a configuration that comes in the middle of a request leaves that request alone") {
+    ProxyWorld world(1);
+    world.tell(routes);
+    auto& client = world.client();
+    client.send(ProxyWorld::request("non_idempotent", "r1"));
+    world.pass(Span{0.05});
+    auto* host = world.asked();
+    REQUIRE(host);
+    world.tell(ProxyWorld::route("streaming"), 2);   // its route is gone
+    host->send(ProxyWorld::answer("r1", "done"));
+    world.pass(Span{0.05});
+    CHECK(contains(client.take(), "done"));
+    client.send(ProxyWorld::request("non_idempotent", "r2"));
+    world.pass(Span{0.05});
+    CHECK(contains(client.take(), "HTTP/1.1 404"));
+}
