--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -257,3 +257,46 @@
     leader.collect();
     CHECK((leader.last<TransferLeadership>(2) || leader.last<TransferLeadership>(3)));
 }
+
+TEST_CASE("a vote is on disk, with whom it went to, before it is given") {
+    Alone alone;
+    alone.self->received(replica(2), VoteRequest{false, 5, {0, 1}, true}, alone.now);
+    std::vector<Persist> writes;
+    const auto replies = [&] {
+        size_t count = 0;
+        for (auto& output : alone.self->take_outputs()) {
+            if (auto* persist = std::get_if<Persist>(&output)) writes.push_back(*persist);
+            const auto* sent = std::get_if<SendTo>(&output);
+            count += sent && std::holds_alternative<VoteReply>(sent->message);
+        }
+        return count;
+    };
+    CHECK(replies() == 0);
+    REQUIRE_FALSE(writes.empty());
+    HardState on_disk;
+    for (const auto& write : writes)
+        if (write.hard_state) on_disk = *write.hard_state;
+    CHECK(on_disk == HardState{5, replica(2)});
+    alone.self->persisted(writes.back().number, alone.now);
+    CHECK(replies() == 1);
+}
+
+TEST_CASE("no voter is changed while the change before it, or the first entry of a term, is not committed") {
+    Alone alone({}, 4);
+    alone.lead();
+    alone.pass(Span{0.3});
+    for (int other = 2; other <= 4; ++other) alone.answer(other);
+    alone.hear(4, Departure{alone.self->term()});
+    alone.pass(Span{0.1});
+    REQUIRE_FALSE(alone.self->is_voter(replica(4)));   // proposed; nobody has answered yet
+    alone.self->greeted(replica(5), true, alone.now);
+    alone.pass(Span{0.25});
+    alone.answer(5);
+    alone.pass(Span{0.1});
+    CHECK_FALSE(alone.self->is_voter(replica(5)));
+    for (int other = 2; other <= 3; ++other) alone.answer(other);
+    alone.pass(Span{0.25});
+    alone.answer(5);
+    alone.pass(Span{0.1});
+    CHECK(alone.self->is_voter(replica(5)));
+}
