--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -272,3 +272,80 @@
     CHECK(here.total_demand().empty());
     CHECK(there.total_demand().empty());
 }
+
+namespace {
+
+// Two of three voters: the test is the second one.
+struct TwoOfThree {
+    Control control{{"10.0.0.2", "10.0.0.3"}, document(3)};
+
+    TwoOfThree() {
+        control.node->received(second_link, messages::PeerHello{{second.peer, 0}, second, true, {}}, control.now);
+    }
+    template <class Kind>
+    std::optional<Kind> last_sent() const {
+        for (auto it = control.to_peers.rbegin(); it != control.to_peers.rend(); ++it)
+            if (const auto* consensus = std::get_if<messages::ConsensusMessage>(&*it))
+                if (const auto* message = std::get_if<Kind>(&consensus->message)) return *message;
+        return {};
+    }
+    void say(consensus::Message message) {
+        control.node->received(second_link, messages::ConsensusMessage{0, std::move(message)}, control.now);
+        control.carry_out();
+    }
+    void answer() {
+        const auto append = last_sent<consensus::Append>();
+        if (append) say(consensus::AppendReply{append->term, append->round, append->last});
+    }
+    void elect() {
+        while (!last_sent<consensus::VoteRequest>()) control.pass(Span{0.1});
+        say(consensus::VoteReply{true, last_sent<consensus::VoteRequest>()->term, true});
+        say(consensus::VoteReply{false, last_sent<consensus::VoteRequest>()->term, true});
+        answer();
+    }
+};
+
+}   // namespace
+
+TEST_CASE("a leader answers a reading, a refusal and an order sent again only once a majority has answered it since") {
+    for (const std::string kind : {"reading", "refusal", "again"}) {
+        CAPTURE(kind);
+        TwoOfThree cluster;
+        cluster.elect();
+        auto& control = cluster.control;
+        REQUIRE(control.node->replica().role() == consensus::Role::leader);
+        if (kind == "again") {
+            const auto first = control.ask("PUT", "/config", "3", document(4));
+            cluster.answer();
+            REQUIRE(control.status(first) == 200);
+        }
+        const auto asked = kind == "reading"   ? control.ask("GET", "/config")
+                           : kind == "refusal" ? control.ask("PUT", "/config", "1", document(9))
+                                               : control.ask("PUT", "/config", "3", document(4));
+        CHECK(control.status(asked) == 0);
+        cluster.answer();
+        CHECK(control.status(asked) == (kind == "refusal" ? 412 : 200));
+    }
+}
+
+TEST_CASE("a leader that nobody answers any more gives no reading") {
+    TwoOfThree cluster;
+    cluster.elect();
+    const auto asked = cluster.control.ask("GET", "/config");
+    cluster.control.pass(Span{4});
+    CHECK(cluster.control.status(asked) == 503);
+}
+
+TEST_CASE("a node that stops may leave once its leader says that every voter that answers holds what it holds") {
+    TwoOfThree cluster;
+    auto state = cluster.control.node->replica().entry()->state;
+    state.version = 4;
+    consensus::Append append{7, 1, {7, 2}, 1, false, 0, state};
+    cluster.say(append);
+    CHECK_FALSE(cluster.control.node->may_leave());
+    append.state.reset();
+    append.round = 2;
+    append.everywhere = true;
+    cluster.say(append);
+    CHECK(cluster.control.node->may_leave());
+}
--- a/tests/system/storage_test.cpp
+++ b/tests/system/storage_test.cpp
@@ -22,6 +22,7 @@
     std::string safe = std::string(file_bytes, '\0'), seen = safe;
     std::vector<Unsynced> unsynced;
     bool refuses = false;
+    int* operations_left = nullptr;   // until power is lost in the middle of what is done
 
     // Each unsynced write is kept, lost or torn.
     void lose_power(Pcg& chance) {
@@ -36,16 +37,20 @@
     }
 };
 
+struct PowerLost {};
+
 class FakeFile : public storage::File {
 public:
     explicit FakeFile(Platter& platter) : platter_(platter) {}
     bool write(uint64_t offset, std::string_view bytes) override {
+        spend();
         if (platter_.refuses || offset + bytes.size() > file_bytes) return false;
         platter_.seen.replace(offset, bytes.size(), bytes);
         platter_.unsynced.push_back({offset, std::string(bytes)});
         return true;
     }
     bool sync() override {
+        spend();
         if (platter_.refuses) return false;
         platter_.safe = platter_.seen;
         platter_.unsynced.clear();
@@ -56,6 +61,9 @@
     }
 
 private:
+    void spend() const {
+        if (platter_.operations_left && (*platter_.operations_left)-- <= 0) throw PowerLost{};
+    }
     Platter& platter_;
 };
 
@@ -114,6 +122,35 @@
     }
 }
 
+TEST_CASE("a loss of power between any two steps of a write is no damage, and loses nothing that was told") {
+    for (int steps = 0; steps < 40; ++steps)
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(steps);
+            CAPTURE(seed);
+            Pcg chance(seed);
+            std::vector<Platter> platters(2);
+            int left = steps;
+            for (auto& platter : platters) platter.operations_left = &left;
+            uint64_t safe = 0;
+            try {
+                auto ring = open_ring(platters);
+                ring.recover();
+                for (uint64_t number = 1; number <= 20; ++number) {   // files are full after a few
+                    const auto text = state(number, 900);
+                    if (ring.append(text, text)) safe = number;
+                }
+            } catch (const PowerLost&) {
+            }
+            for (auto& platter : platters) {
+                platter.operations_left = nullptr;
+                platter.lose_power(chance);
+            }
+            const auto recovered = open_ring(platters).recover();
+            CHECK_FALSE(recovered.damaged);
+            CHECK(number_of(recovered.records) >= safe);
+        }
+}
+
 TEST_CASE("a flipped bit is found out, wherever it is: the disk has forgotten what it took, or nothing is lost") {
     constexpr size_t place = 32, written = 3 * 3 * place;   // three records: header, payload, seal
     for (size_t at = 0; at < written; ++at) {
