A proxy that has only moved is not counted twice; a fresh one's bucket is full up to the rate

Change: of what a proxy told before it left and what its name tells now the more counts; a first bucket is full while the fleet asks for no more than the rate and empty at twice that. A test for hosts told by one node only.

--- a/src/messages/messages.hpp
+++ b/src/messages/messages.hpp
@@ -56,8 +56,8 @@
 
 // Proxies subscribed at the sender, with what is asked of each.
 struct ProxiesTold {
-    std::map<std::string, Demand> proxies;   // by node name
-    Demand departed;                         // of those that have just left, all together
+    std::map<std::string, Demand> proxies;    // by node name
+    std::map<std::string, Demand> departed;   // what those that have just left told last
 };
 
 // First message of a proxy on its subscription.
--- a/src/roles/control/proxy_directory.cpp
+++ b/src/roles/control/proxy_directory.cpp
@@ -1,5 +1,6 @@
 #include "roles/control/proxy_directory.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace myrtleroute::control {
@@ -18,6 +19,14 @@
     }
 }
 
+void at_least(messages::Demand& demand, const messages::Demand& before) {
+    for (const auto& [tenant, rates] : before) {
+        auto& now = demand[tenant];
+        now.asked = std::max(now.asked, rates.asked);
+        now.granted = std::max(now.granted, rates.granted);
+    }
+}
+
 }   // namespace
 
 void ProxyDirectory::subscribed(LinkNumber link, const std::string& node) {
@@ -28,7 +37,7 @@
 void ProxyDirectory::left(LinkNumber link, Time now) {
     auto left = subscribers_.extract(link);
     if (left.empty() || left.mapped().demand.empty() || departed_.size() >= most_departed) return;
-    departed_.push_back({std::move(left.mapped().demand), now + counts_on});
+    departed_.push_back({left.mapped().node, std::move(left.mapped().demand), now + counts_on});
 }
 
 void ProxyDirectory::demanded(LinkNumber link, messages::Demand demand) {
@@ -53,7 +62,7 @@
 messages::ProxiesTold ProxyDirectory::own() const {
     messages::ProxiesTold told;
     for (const auto& [link, subscriber] : subscribers_) told.proxies[subscriber.node] = subscriber.demand;
-    for (const auto& departed : departed_) add(told.departed, departed.demand);
+    for (const auto& departed : departed_) told.departed[departed.node] = departed.demand;
     return told;
 }
 
@@ -71,10 +80,14 @@
     for (const auto& [by, known] : elsewhere_)
         for (const auto& [node, demand] : known.proxies.proxies) by_node[node] = &demand;
     for (const auto& [link, subscriber] : subscribers_) by_node[subscriber.node] = &subscriber.demand;
+    // One that has left may only have moved, or have been started again: what is more of before and now counts.
+    std::map<std::string, messages::Demand> counted;
+    for (const auto& [node, demand] : by_node) counted[node] = *demand;
+    for (const auto& departed : departed_) at_least(counted[departed.node], departed.demand);
+    for (const auto& [by, known] : elsewhere_)
+        for (const auto& [node, demand] : known.proxies.departed) at_least(counted[node], demand);
     messages::Demand total;
-    for (const auto& [node, demand] : by_node) add(total, *demand);
-    for (const auto& [by, known] : elsewhere_) add(total, known.proxies.departed);
-    for (const auto& departed : departed_) add(total, departed.demand);
+    for (const auto& [node, demand] : counted) add(total, demand);
     return total;
 }
 
--- a/src/roles/control/proxy_directory.hpp
+++ b/src/roles/control/proxy_directory.hpp
@@ -41,6 +41,7 @@
         Time told;
     };
     struct Departed {
+        std::string node;
         messages::Demand demand;
         Time until;
     };
--- a/src/routing/quota.cpp
+++ b/src/routing/quota.cpp
@@ -46,9 +46,9 @@
     const double passed = first ? 0 : (now - tenant.refilled).s;
     tenant.refilled = now;
     if (first) {
-        // A process that has just started finds the bucket as the others have left it: empty, where they ask for more
-        // than the rate already.
-        const double left = std::clamp(1 - total.asked / rate, 0.0, 1.0);
+        // A process that has just started finds the bucket as the others have left it: emptier, the further they ask for
+        // more than the rate already.
+        const double left = std::clamp(2 - total.asked / rate, 0.0, 1.0);
         tenant.shared = sizes.shared_depth * left;
         tenant.own = sizes.own_depth * left;
         return;
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -266,6 +266,11 @@
     CHECK(here.names().empty());
     CHECK(here.total_demand()["t"].granted == 400);
     CHECK(there.total_demand()["t"].granted == 400);
+    there.subscribed(7, "edge-1");   // it has only moved, and goes on as before
+    there.demanded(7, {{"t", {500, 420}}});
+    CHECK(there.total_demand()["t"].granted == 420);
+    there.left(7, now);
+    there = {};
     now = now + Span{2.1};
     here.tick(now);
     there.told(at, here.own(), now);
@@ -349,3 +354,24 @@
     cluster.say(append);
     CHECK(cluster.control.node->may_leave());
 }
+
+TEST_CASE("a node begins a subscription only when a majority has told it all the hosts that they know") {
+    TwoOfThree cluster;
+    cluster.elect();
+    auto& control = cluster.control;
+    control.to_proxy.clear();
+    control.subscribe();
+    cluster.answer();
+    control.pass(Span{0.5});
+    cluster.answer();
+    CHECK(control.configuration_told() == std::nullopt);
+    CHECK(control.hosts_told == 0);
+    const registry::Host leaving{"i-1", "s", "10.9.0.1:80", "north", 1, registry::HostState::draining, 2};
+    control.node->received(second_link, messages::HostsTold{{leaving}, 0, true}, control.now);
+    for (int i = 0; i < 5; ++i) {
+        control.pass(Span{0.1});
+        cluster.answer();
+    }
+    CHECK(control.configuration_told() == 3);
+    CHECK(control.hosts_told == 1);
+}
--- a/tests/system/messages_test.cpp
+++ b/tests/system/messages_test.cpp
@@ -33,7 +33,7 @@
             HostsTold{{host}, 4, true},
             HostsConfirmed{4},
             HostsHeard{{{"i-1", 13}}},
-            ProxiesTold{{{"edge-1", {{"t", {5, 4}}}}}, {{"t", {3, 2}}}},
+            ProxiesTold{{{"edge-1", {{"t", {5, 4}}}}}, {{"edge-2", {{"t", {3, 2}}}}}},
             Subscribe{"edge-1", 8},
             DemandTold{{{"t", {5, 4}}}},
             ConfigurationTold{9, "{}"},
