A connection to a host no longer writes into the host's record after that is gone

Cause, found by the new tests of the proxy role under the address sanitizer: at the end of the process the loop's connections are destroyed after the hosts, and each counted itself out of its host. Change: the counter is shared. Measured: 105 cases pass sanitized; before, the first of proxy_test.cpp ended with heap-use-after-free.

--- a/src/roles/proxy/hosts.cpp
+++ b/src/roles/proxy/hosts.cpp
@@ -68,7 +68,7 @@
 void Hosts::forget_gone() {
     std::erase_if(hosts_, [this](const auto& known) {
         const auto& host = *known.second;
-        return host.host.state == registry::HostState::gone && host.connections == 0 &&
+        return host.host.state == registry::HostState::gone && *host.connections == 0 &&
                context_.now() - host.gone_since > remembered_gone;
     });
 }
--- a/src/roles/proxy/hosts.hpp
+++ b/src/roles/proxy/hosts.hpp
@@ -25,7 +25,8 @@
     size_t service = 0;   // number of its pool
     std::string probe_path;
     std::list<HostConnection*> idle;   // the latest used first
-    int connections = 0;
+    // Connections to it; they hold the counter themselves, since at the end of the process they outlive this record.
+    std::shared_ptr<int> connections = std::make_shared<int>(0);
     Time heard = long_ago;   // its last whole answer
     Time gone_since = long_ago;
 };
@@ -116,15 +117,19 @@
 
 struct HostConnection : memory::Connection {
     HostConnection(memory::Owner& by, int fd, HostRecord& to, size_t most_in, size_t most_out, wire::HttpLimits limits)
-        : Connection(by, fd, most_in, most_out), host(&to), http(wire::HttpMachine::Side::answer, reader, limits) {
+        : Connection(by, fd, most_in, most_out),
+          host(&to),
+          connections(to.connections),
+          http(wire::HttpMachine::Side::answer, reader, limits) {
         hears_leaving = true;
-        ++to.connections;
+        ++*connections;
     }
-    ~HostConnection() override { --host->connections; }
+    ~HostConnection() override { --*connections; }
     std::string name() const override { return "host " + host->host.id; }
     bool busy() const { return request || is_probe; }
 
     HostRecord* host;
+    std::shared_ptr<int> connections;   // of the host
     ReplyReader reader;
     wire::HttpMachine http;
     Request* request = nullptr;
