The virtual world looks up a process in one place; an unused order of operators is gone

Cause: read once more, the look-up of a process by its endpoint stood twice, Operator::order_soon had no caller and a parameter no use. Change: one function; the rest removed.

--- a/src/lab/control/callers.cpp
+++ b/src/lab/control/callers.cpp
@@ -65,17 +65,6 @@
     order_.body = checker_.number_of(body_);
 }
 
-void Operator::order_soon() {
-    draw_order();
-    order_ = {};
-    order_.base = base_;
-    order_.version = base_ + 1;
-    valid_ = true;
-    body_ = document(order_.version, chance_.number() % 100000);
-    order_.body = checker_.number_of(body_);
-    call(choose(), 0);
-}
-
 void Operator::read_now() {
     busy_ = true;
     tries_ = 0;
@@ -103,16 +92,16 @@
     request.path = "/config";
     if (!order_.reads) request.if_match = std::to_string(order_.base);
     request.body = body_;
-    platform_.ask(*machine, request, [this, number, at, machine, redirects](const std::optional<Answer>& answer) {
+    platform_.ask(*machine, request, [this, number, at, redirects](const std::optional<Answer>& answer) {
         if (answer && platform_.loses_answers() && chance_.yes(0.7)) return;   // a time-out follows
-        if (number == call_) ended(at, machine, answer, redirects);
+        if (number == call_) ended(at, answer, redirects);
     });
-    queue_.in(answer_within, [this, number, at, machine, redirects] {
-        if (number == call_) ended(at, machine, {}, redirects);
+    queue_.in(answer_within, [this, number, at, redirects] {
+        if (number == call_) ended(at, {}, redirects);
     });
 }
 
-void Operator::ended(size_t at, Machine*, const std::optional<Answer>& answer, int redirects) {
+void Operator::ended(size_t at, const std::optional<Answer>& answer, int redirects) {
     ++call_;
     auto& operation = history_[at];
     operation.answered = queue_.now();
--- a/src/lab/control/callers.hpp
+++ b/src/lab/control/callers.hpp
@@ -30,7 +30,6 @@
     Operator(Queue& queue, Chance chance, const Platform& platform, Checker& checker, std::vector<Operation>& history);
     void begin() { think(); }
     void stop() { stopped_ = true; }
-    void order_soon();   // one more, whatever else is under way; for the end of a day
     bool is_idle() const { return !busy_; }
     uint64_t read() const { return last_read_; }   // version of the last reading; 0 = none yet
     void read_now();
@@ -39,8 +38,7 @@
     void think();
     void draw_order();
     void call(Machine* machine, int redirects);
-    void ended(size_t operation, Machine* machine, const std::optional<myrtleroute::control::Answer>& answer,
-               int redirects);
+    void ended(size_t operation, const std::optional<myrtleroute::control::Answer>& answer, int redirects);
     void try_again();
     void done();
     Machine* choose();
--- a/src/lab/control/world.cpp
+++ b/src/lab/control/world.cpp
@@ -88,10 +88,8 @@
     settings.tolerated_machines = static_cast<int>(plan_.tolerated);
     settings.data_directory = "virtual";
     Machine::Surroundings surroundings;
-    surroundings.process_at = [this](const Endpoint& peer) -> std::optional<ProcessId> {
-        for (const auto& machine : machines_)
-            if (machine->peer() == peer) return machine->process();
-        return {};
+    surroundings.process_at = [this](const Endpoint& peer) {
+        return process_at(peer);
     };
     surroundings.acted = [this](Machine& machine) {
         checker_.acted(machine);
@@ -101,12 +99,16 @@
     return *machines_.back();
 }
 
+std::optional<ProcessId> World::process_at(const Endpoint& peer) const {
+    for (const auto& machine : machines_)
+        if (machine->peer() == peer) return machine->process();
+    return {};
+}
+
 void World::begin_proxies() {
     for (size_t i = 0; i < proxies; ++i) {
-        const auto find = [this](const Endpoint& peer) -> std::optional<ProcessId> {
-            for (const auto& machine : machines_)
-                if (machine->peer() == peer) return machine->process();
-            return {};
+        const auto find = [this](const Endpoint& peer) {
+            return process_at(peer);
         };
         proxies_.push_back(std::make_unique<SubscribedProxy>(queue_, *network_, checker_, first_proxy + i, find));
         proxies_.back()->start(seeds(), chance_.number());
--- a/src/lab/control/world.hpp
+++ b/src/lab/control/world.hpp
@@ -39,6 +39,7 @@
         Time until;
     };
     Machine& add_machine(bool is_seed);
+    std::optional<ProcessId> process_at(const Endpoint& peer) const;
     void begin_proxies();
     void strike(const Fault& fault, bool on_acknowledger);
     bool may_strike(const Fault& fault, const Machine& machine) const;
