Setting metrics=PORT/PATH: where a process tells its figures

Cause: operators fetch a role's figures at a port and path that they name. Change: NodeSettings::metrics; absent or empty serves nothing; anything but a port of 1 to 65,535 and a path without spaces, query or fragment is a finding with its line.

--- a/src/configuration/node_settings.cpp
+++ b/src/configuration/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "configuration/node_settings.hpp"
 
+#include <algorithm>
 #include <map>
 
 #include "wire/text.hpp"
@@ -104,6 +105,26 @@
     settings.last_internal_port = *last;
 }
 
+// What may stand in the path of a URL that is asked for as it is written here.
+bool is_path_character(char c) { return c > ' ' && c <= '~' && c != '?' && c != '#'; }
+
+std::optional<MetricsAddress> parse_metrics_address(std::string_view text) {
+    const auto slash = text.find('/');
+    if (slash == text.npos) return {};
+    const auto port = wire::whole<uint16_t>(text.substr(0, slash));
+    const auto path = text.substr(slash);
+    if (!port || *port == 0 || path.size() < 2) return {};
+    if (!std::all_of(path.begin(), path.end(), is_path_character)) return {};
+    return MetricsAddress{*port, std::string(path)};
+}
+
+void read_metrics(Reader& reader, NodeSettings& settings) {
+    const auto value = reader.text("metrics", false);
+    if (value.empty()) return;
+    settings.metrics = parse_metrics_address(value);
+    if (!settings.metrics) reader.report("metrics", "must be a port and a path, PORT/PATH, not '" + value + "'");
+}
+
 void read_seeds(Reader& reader, NodeSettings& settings) {
     for (const auto& seed : reader.list("seeds")) {
         const auto endpoint = parse_endpoint(seed);
@@ -127,6 +148,7 @@
     settings.front = reader.endpoint("listen.front");
     settings.ready = reader.endpoint("listen.ready");
     settings.control = reader.endpoint("listen.control");
+    read_metrics(reader, settings);
     read_internal_ports(reader, settings);
     read_seeds(reader, settings);
     settings.bootstrap = reader.truth("bootstrap", false);
--- a/src/configuration/node_settings.hpp
+++ b/src/configuration/node_settings.hpp
@@ -15,14 +15,22 @@
 
 namespace myrtleroute::configuration {
 
+// Where a process tells its figures: `metrics=PORT/PATH`.
+struct MetricsAddress {
+    uint16_t port = 0;   // at the machine's address
+    std::string path;    // with its leading slash
+    bool operator==(const MetricsAddress&) const = default;
+};
+
 struct NodeSettings {
     std::string node_name;
     std::string address;   // of this machine
     std::string zone;
-    std::optional<Endpoint> front;      // where clients connect
-    std::optional<Endpoint> ready;      // where the platform asks for readiness
-    std::optional<Endpoint> control;    // where hosts and the operator connect
-    uint16_t first_internal_port = 0;   // free ports for what processes of the system say to each other
+    std::optional<Endpoint> front;           // where clients connect
+    std::optional<Endpoint> ready;           // where the platform asks for readiness
+    std::optional<Endpoint> control;         // where hosts and the operator connect
+    std::optional<MetricsAddress> metrics;   // nothing: no figures are served
+    uint16_t first_internal_port = 0;        // free ports for what processes of the system say to each other
     uint16_t last_internal_port = 0;
     std::vector<Endpoint> seeds;   // `control` addresses of some machines that serve it
     bool bootstrap = false;        // the whole system starts for the first time, on empty disks
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -45,6 +45,25 @@
     CHECK(settings.data_directory.empty());
 }
 
+TEST_CASE("the address of the figures: absent, empty, sound") {
+    CHECK_FALSE(std::get<0>(read_node_settings(sound_settings, "f")).metrics);
+    CHECK_FALSE(std::get<0>(read_node_settings(sound_settings + "metrics=\n", "f")).metrics);
+    const auto checked = read_node_settings(sound_settings + "metrics=7900/figures/all\n", "f");
+    REQUIRE(checked.index() == 0);
+    CHECK(std::get<0>(checked).metrics == configuration::MetricsAddress{7900, "/figures/all"});
+}
+
+TEST_CASE("an unsound address of the figures is a finding with its line") {
+    for (const std::string value : {"7900", "7900/", "/figures", "0/figures", "65536/figures", "-1/figures",
+                                    "x/figures", "7900/fig ures", "7900/figures?all", "7900/figures#all"}) {
+        CAPTURE(value);
+        const auto checked = read_node_settings(sound_settings + "metrics=" + value + "\n", "f");
+        REQUIRE(checked.index() == 1);
+        CHECK(one_line(std::get<1>(checked)) ==
+              "f:10: metrics must be a port and a path, PORT/PATH, not '" + value + "'");
+    }
+}
+
 TEST_CASE("all faults of a settings file are told at once, each with its line and key") {
     const auto checked = read_node_settings(
         "nodeName=x\nip=10.1.0.3\nzone=z\nlisten.front=nowhere\ninternalPorts=9\nseeds=a,10.0.0.1:1\n"
