A proxy tells its figures of quotas, and its log says what is refused and why

Change: src/roles/proxy/quota_report counts by tenant of the configuration what was granted and refused (by cause), shows what was told of the fleet with its age, and writes one line a second for each cause. src/roles/proxy/metrics_listener serves the figures on the proxy's loop, eight connections at the most. src/routing/quota only names the cause of a refusal.

--- a/src/roles/proxy/context.hpp
+++ b/src/roles/proxy/context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <memory>
 
+#include "base/metrics.hpp"
 #include "configuration/node_settings.hpp"
 #include "random.hpp"
 #include "routing/route_table.hpp"
@@ -15,6 +16,7 @@
     run::Log log;   // of the loop
     run::Loop loop;
     Pcg chance;
+    metrics::Registry metrics;
     std::shared_ptr<const routing::RouteTable> table;   // null until a configuration is known
     size_t proxies = 1;                                 // in the fleet
 
--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -47,6 +47,7 @@
       reread_(std::move(reread)),
       table_({}),
       quotas_({context_.settings.quota_slack, context_.settings.quota_over, context_.settings.quota_window}),
+      quota_report_(context_.metrics, [](const std::string& line) { log_info() << line; }),
       front_(context_, {[this](Client& client, RequestReader& reader) { arrived(client, reader); },
                         [this](Request& request) { client_left(request); },
                         [this](Request& request) { hosts_.resume_reading(request); },
@@ -83,7 +84,8 @@
                                [this] { return context_.table ? context_.table->configuration().version : 0; },
                                [this] {
                                    return quotas_.own(context_.now());
-                               }}) {}
+                               }}),
+      metrics_listener_(context_, [this] { return figures(); }) {}
 
 int Proxy::run() {
     if (!start()) return exit_fault;
@@ -99,6 +101,7 @@
     }
     signals_ = &context_.loop.adopt(std::make_unique<Signals>(*this, context_.home.hear_signals()));
     context_.loop.listen_to(*signals_, true);
+    metrics_listener_.open();
     log_info() << "proxy " << context_.settings.node_name << " starts";
     tick();
     return true;
@@ -175,8 +178,13 @@
     const double told = request.prompt.tokens_in + request.prompt.tokens_out;
     const double cost = !tenant.counts_tokens ? 1 : told > 0 ? told : tenant.uncached_tokens;
     const auto grant = quotas_.take(tenant.name, tenant.rate_per_second, tenant.burst, cost, context_.now());
-    if (!grant.granted) front_.refuse(client, 429, std::clamp(grant.retry_after, Span{0.05}, Span{5}));
-    return grant.granted;
+    if (grant.granted) {
+        quota_report_.note_granted(tenant.name, cost);
+        return true;
+    }
+    quota_report_.note_refused(tenant.name, cost, grant.cause, context_.now());
+    front_.refuse(client, 429, std::clamp(grant.retry_after, Span{0.05}, Span{5}));
+    return false;
 }
 
 void Proxy::client_left(Request& request) {
@@ -278,6 +286,7 @@
         return;
     }
     context_.table = std::make_shared<routing::RouteTable>(std::get<configuration::Configuration>(std::move(checked)));
+    quota_report_.configured(context_.table->configuration().tenants);
     for (const auto& service : context_.table->configuration().services) {
         auto& serving = pool(service.name);
         serving.health_check = service.health_check;
@@ -306,12 +315,18 @@
 void Proxy::fleet_told(const messages::FleetTold& told) {
     context_.proxies = told.proxies;
     quotas_.fleet(told.demand, told.proxies, context_.now());
+    quota_report_.fleet_told(told, context_.now());
     for (auto& serving : pools_)
         serving->balancer().placed(static_cast<int>(told.place), static_cast<int>(told.proxies));
 }
 
 // The process.
 
+std::string Proxy::figures() {
+    quota_report_.refresh(context_.now());
+    return context_.metrics.render();
+}
+
 void Proxy::settle() {
     do hosts_.settle();
     while (!hosts_.settled());
@@ -354,6 +369,7 @@
     if (phase_ == Phase::leaving) {
         phase_ = Phase::closing;
         front_.close_listeners();
+        metrics_listener_.close();
     }
     const bool late = context_.now() >= stopped_at_ + context_.settings.grace - kept_back;
     if (late || (requests_.empty() && front_.connections() == 0)) {
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -10,6 +10,8 @@
 #include "roles/proxy/context.hpp"
 #include "roles/proxy/front.hpp"
 #include "roles/proxy/hosts.hpp"
+#include "roles/proxy/metrics_listener.hpp"
+#include "roles/proxy/quota_report.hpp"
 #include "roles/proxy/service_pool.hpp"
 #include "roles/proxy/subscription.hpp"
 #include "routing/quota.hpp"
@@ -51,6 +53,7 @@
     void tell_pool(const registry::Host& host);
 
     // The process.
+    std::string figures();   // as text, as they are now
     void came(memory::Connection& connection) override;
     void broke(memory::Connection&, int) override {}
     void due(memory::Connection& connection) override;
@@ -68,9 +71,11 @@
     std::vector<std::unique_ptr<ServicePool>> pools_;
     std::map<std::string, size_t> pool_numbers_;   // by service
     routing::Quotas quotas_;
+    QuotaReport quota_report_;
     Front front_;
     Hosts hosts_;
     Subscription subscription_;
+    MetricsListener metrics_listener_;
     std::unordered_map<CallId, std::unique_ptr<Request>> requests_;
     CallId next_call_ = 1;
     size_t held_bytes_ = 0;   // bodies of requests
--- /dev/null
+++ b/src/roles/proxy/quota_report.hpp
@@ -0,0 +1,66 @@
+// What a proxy tells of tenants' quotas, in figures and in its log: what it granted and refused, and what it had been
+// told of the fleet when it did. It decides nothing.
+//
+// Figures exist for tenants of the configuration that something is known of, and are forgotten with them. They are in
+// the tenant's unit: tokens or requests.
+#pragma once
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/metrics.hpp"
+#include "configuration/configuration.hpp"
+#include "messages/messages.hpp"
+#include "routing/refusal_cause.hpp"
+#include "time.hpp"
+
+namespace myrtleroute::proxy {
+
+class QuotaReport {
+public:
+    using Log = std::function<void(const std::string& line)>;
+
+    // `log` takes the lines about refusals.
+    QuotaReport(metrics::Registry& registry, Log log);
+
+    // The tenants that the configuration names; figures of others are forgotten.
+    void configured(const std::vector<configuration::Tenant>& tenants);
+
+    // What the control role told of the fleet.
+    void fleet_told(const messages::FleetTold& told, Time now);
+
+    // A request of the tenant that cost so many units. Tenants that the configuration does not name are passed over.
+    void note_granted(std::string_view tenant, double units);
+    void note_refused(std::string_view tenant, double units, routing::RefusalCause cause, Time now);
+
+    // Brings the figures up to date that change by themselves: the age of what was told. Before they are rendered.
+    void refresh(Time now);
+
+private:
+    struct Figures {
+        metrics::Counter granted_units, refused_units;
+        std::array<metrics::Counter, routing::refusal_causes.size()> refused_requests;   // by cause
+        metrics::Gauge fleet_asked, fleet_granted;                                       // units a second
+        double granted_since = 0, refused_since = 0;   // units, since the tenant's last line in the log
+    };
+    Figures make_figures(const std::string& tenant);
+    Figures* figures_of(std::string_view tenant);   // null where the configuration does not name it
+    void forget(const std::string& tenant);
+    void log_refusal(std::string_view tenant, Figures& figures, routing::RefusalCause cause, Time now);
+    double age(Time now) const;   // seconds, infinite before the first word
+
+    metrics::Registry& registry_;
+    Log log_;
+    std::set<std::string, std::less<>> tenants_;
+    std::map<std::string, Figures, std::less<>> figures_;
+    metrics::Gauge proxies_, current_, told_age_;
+    Time told_at_ = long_ago;
+    std::array<Time, routing::refusal_causes.size()> logged_;   // when the last line of each cause was written
+};
+
+}   // namespace myrtleroute::proxy
--- a/src/routing/quota.cpp
+++ b/src/routing/quota.cpp
@@ -75,7 +75,7 @@
     if (!shared_has || tenant.own <= least_own) {
         const double wait = shared_has ? (least_own - tenant.own) / std::max(bounds.own_fill, 1.0)
                                        : -tenant.shared / std::max(rate, 1.0);
-        return {false, Span{wait}};
+        return {false, Span{wait}, shared_has ? RefusalCause::own_part_used : RefusalCause::fleet_over_limit};
     }
     tenant.own -= cost;   // may leave a debt: a request larger than the depth has its turn as well
     tenant.granted.add(cost, now);
--- a/src/routing/quota.hpp
+++ b/src/routing/quota.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 
+#include "routing/refusal_cause.hpp"
 #include "time.hpp"
 
 namespace myrtleroute::routing {
@@ -30,7 +31,8 @@
 
     struct Grant {
         bool granted = true;
-        Span retry_after;   // where it is not: when there may be something again
+        Span retry_after;                                      // where it is not: when there may be something again
+        RefusalCause cause = RefusalCause::fleet_over_limit;   // where it is not
     };
     // A request of the tenant that costs so many units. A rate of 0 is no limit.
     Grant take(const std::string& tenant, double rate, double burst, double cost, Time now);
--- /dev/null
+++ b/tests/system/metrics_answer_test.cpp
@@ -0,0 +1,118 @@
+// The answer at the address of the figures: the handler of both roles, and the proxy's listener on a virtual network.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "base/metrics.hpp"
+#include "proxy_world.hpp"
+#include "roles/metrics_answer.hpp"
+
+using namespace myrtleroute;
+using testing::ProxyWorld;
+
+namespace {
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+std::string get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"; }
+
+constexpr const char* tenant_document =
+    R"({"version":2,"routes":[{"hostname":"h.example","pathPrefix":"/a/","timeoutMs":6000,"service":"s"}],)"
+    R"("services":[{"name":"s","healthCheck":"/health"}],"tenants":[)"
+    R"({"name":"acme","apiKeys":["limited"],"ratePerS":10,"burst":1},{"name":"zeta","apiKeys":["unlimited"]}]})";
+
+std::string request_with(const std::string& key) {
+    return "POST /a/b HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token " + key + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+}   // namespace
+
+TEST_CASE("a GET of the path is answered with the text, anything else with 404") {
+    const auto status = [](const std::string& method, const std::string& target) {
+        return answer_metrics(method, target, "/figures", [] { return "text"; }).status;
+    };
+    CHECK(status("GET", "/figures") == 200);
+    CHECK(status("GET", "/figures?all") == 200);
+    CHECK(status("GET", "/figures/") == 404);
+    CHECK(status("GET", "/") == 404);
+    CHECK(status("GET", "") == 404);
+    CHECK(status("POST", "/figures") == 404);
+    CHECK(status("get", "/figures") == 404);
+    CHECK(answer_metrics("GET", "/figures", "/figures", [] { return "text"; }).body == "text");
+}
+
+TEST_CASE("the proxy serves its figures at a port of their own") {
+    ProxyWorld world;
+    auto& reader = world.client(ProxyWorld::metrics_port);
+    reader.send(get("/figures"));
+    world.pass(Span{0.1});
+    CHECK(reader.ended);
+    const auto answer = reader.take();
+    CHECK(contains(answer, "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4; charset=utf-8\r\n"));
+    CHECK(contains(answer, "myrtleroute_fleet_told_age_seconds +Inf\n"));
+    const auto length = answer.size() - answer.find("\r\n\r\n") - 4;
+    CHECK(contains(answer, "Content-Length: " + std::to_string(length) + "\r\nConnection: close\r\n\r\n"));
+}
+
+TEST_CASE("the port of the figures serves nothing else, and the front does not serve the figures") {
+    ProxyWorld world;
+    world.tell(ProxyWorld::route("idempotent"));
+    for (const std::string& request :
+         {get("/"), get("/ready"), get("/idempotent/a"), std::string("POST /figures HTTP/1.1\r\nHost: x\r\n\r\n"),
+          std::string("no request\r\n\r\n"), ProxyWorld::request("idempotent", "r1")}) {
+        CAPTURE(request);
+        auto& reader = world.client(ProxyWorld::metrics_port);
+        reader.send(request);
+        world.pass(Span{0.1});
+        CHECK(contains(reader.take(), "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n"));
+        CHECK(reader.ended);
+    }
+    CHECK(world.arrivals("r1") == 0);
+    auto& client = world.client();
+    client.send(get("/figures"));
+    world.pass(Span{0.1});
+    CHECK(contains(client.take(), "HTTP/1.1 404 "));
+}
+
+TEST_CASE("readers of figures that say nothing are let go, and others are served after them") {
+    ProxyWorld world;
+    std::vector<testing::ScriptedEnd*> silent;
+    for (int i = 0; i < 20; ++i) silent.push_back(&world.client(ProxyWorld::metrics_port));
+    auto& reader = world.client(ProxyWorld::metrics_port);
+    reader.send(get("/figures"));
+    world.pass(Span{1});
+    CHECK(reader.received.empty());   // only a few are held at a time
+    world.pass(Span{16});
+    CHECK(contains(reader.take(), "HTTP/1.1 200 OK\r\n"));
+    for (auto* end : silent) CHECK((end->ended || end->broken));
+}
+
+TEST_CASE("a proxy's figures tell of quotas what it granted and refused, and what it was told") {
+    ProxyWorld world;
+    messages::FleetTold fleet;
+    fleet.current = true;
+    fleet.proxies = 3;
+    fleet.demand["acme"] = {40, 30};   // the fleet grants more than the quota already
+    world.say(messages::ConfigurationTold{2, tenant_document});
+    world.say(messages::HostsTold{});
+    world.say(fleet);
+    world.pass(Span{0.1});
+    auto& limited = world.client();
+    limited.send(request_with("limited"));
+    world.client().send(request_with("unlimited"));
+    world.pass(Span{0.1});
+    CHECK(contains(limited.take(), "HTTP/1.1 429 "));
+    auto& reader = world.client(ProxyWorld::metrics_port);
+    reader.send(get("/figures"));
+    world.pass(Span{0.1});
+    const auto text = reader.take();
+    CAPTURE(text);
+    CHECK(contains(text, "myrtleroute_quota_granted_units_total{tenant=\"acme\"} 0\n"));
+    CHECK(contains(text, "myrtleroute_quota_granted_units_total{tenant=\"zeta\"} 1\n"));
+    CHECK(contains(text, "myrtleroute_quota_refused_units_total{tenant=\"acme\"} 1\n"));
+    CHECK(contains(text, "myrtleroute_quota_refused_requests_total{tenant=\"acme\",cause=\"fleet_over_limit\"} 1\n"));
+    CHECK(contains(text, "myrtleroute_quota_fleet_asked_units_per_second{tenant=\"acme\"} 40\n"));
+    CHECK(contains(text, "myrtleroute_quota_fleet_granted_units_per_second{tenant=\"acme\"} 30\n"));
+    CHECK(contains(text, "myrtleroute_fleet_proxies 3\n"));
+}
--- a/tests/system/proxy_world.hpp
+++ b/tests/system/proxy_world.hpp
@@ -73,6 +73,7 @@
 public:
     static constexpr const char* proxy_address = "10.0.0.1";
     static constexpr uint16_t front_port = 8360, ready_port = 8365, control_port = 8367, internal_port = 7500;
+    static constexpr uint16_t metrics_port = 7515;
 
     explicit ProxyWorld(size_t hosts = 2)
         : control(net, 2, {"10.0.0.2", internal_port}), home_(queue, net, machine_, [this] { wake(queue.now()); }) {
@@ -84,6 +85,7 @@
         settings.zone = "north";
         settings.front = Endpoint{proxy_address, front_port};
         settings.ready = Endpoint{proxy_address, ready_port};
+        settings.metrics = configuration::MetricsAddress{metrics_port, "/figures"};
         settings.first_internal_port = internal_port;
         settings.seeds = {{"10.0.0.2", control_port}};
         settings.budget_slack = 50;
