A control node tells its figures: proxies, subscribers, whether it leads and is current, its term

Change: src/roles/control/metrics_server serves the registry by RESTinio at the address of the setting `metrics`; Node::state and NodeFigures give its five figures.

--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -36,6 +36,16 @@
         if (seed.peer != options_.self.peer) known_[seed.peer] = seed;
 }
 
+NodeState Node::state(Time now) const {
+    NodeState state;
+    state.proxies = proxies_.names().size();
+    state.subscribers = proxies_.subscribers().size();
+    state.leads = replica_.role() == consensus::Role::leader;
+    state.is_current = replica_.is_current(now);
+    state.term = replica_.term();
+    return state;
+}
+
 std::vector<Endpoint> Node::peers() const {
     std::vector<Endpoint> endpoints;
     for (const auto& [endpoint, node] : known_) endpoints.push_back(endpoint);
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -14,6 +14,7 @@
 #include "consensus/replica.hpp"
 #include "roles/control/configuration_service.hpp"
 #include "roles/control/host_service.hpp"
+#include "roles/control/node_figures.hpp"
 #include "roles/control/outputs.hpp"
 #include "roles/control/proxy_directory.hpp"
 
@@ -57,6 +58,7 @@
     Outputs take_outputs() { return std::exchange(outputs_, {}); }
     std::vector<Endpoint> peers() const;   // to keep connections to
     const consensus::Replica& replica() const { return replica_; }
+    NodeState state(Time now) const;   // for the figures
 
 private:
     struct Link {
--- a/src/roles/control/runtime.cpp
+++ b/src/roles/control/runtime.cpp
@@ -12,6 +12,7 @@
 
 #include "roles/control/disk_writer.hpp"
 #include "roles/control/http_api.hpp"
+#include "roles/control/metrics_server.hpp"
 #include "roles/control/node.hpp"
 #include "roles/control/peer_network.hpp"
 #include "roles/control/start.hpp"
@@ -86,10 +87,23 @@
                 exit_code_ = exit_fault;
                 context_.stop();
             });
+        if (settings_.metrics) serve_metrics();
         log_info() << "control node " << settings_.node_name << " starts as " << node_->replica().self().text();
         return 0;
     }
 
+    void serve_metrics() {
+        const Endpoint at{settings_.address, settings_.metrics->port};
+        const auto render = [this] {
+            figures_.show(node_->state(now()));
+            return registry_.render();
+        };
+        metrics_ = std::make_unique<MetricsServer>(
+            context_, at, settings_.metrics->path, render, [at](const std::string& reason) {
+                log_error() << "metrics: can't listen at " << at.text() << ": " << reason;
+            });
+    }
+
     bool open_disk(storage::Recovered& found) {
         for (;;) {
             auto opened = storage::open_files(settings_.data_directory, ring_files, storage::RingOptions{}.file_bytes);
@@ -180,6 +194,9 @@
     PeerNetwork network_;
     std::unique_ptr<Node> node_;
     std::unique_ptr<HttpApi> http_;
+    metrics::Registry registry_;
+    NodeFigures figures_{registry_};
+    std::unique_ptr<MetricsServer> metrics_;   // null: the settings name no address for figures
     std::unique_ptr<DiskWriter> disk_;
     std::map<RequestNumber, std::string> orders_;   // that wait for their answer, for the log
     Time leave_until_;
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -375,3 +375,32 @@
     CHECK(control.configuration_told() == 3);
     CHECK(control.hosts_told == 1);
 }
+
+TEST_CASE("a node's figures tell of its proxies and of its standing") {
+    Control control;
+    control.subscribe();
+    metrics::Registry registry;
+    NodeFigures figures(registry);
+    const auto told = [&] {
+        figures.show(control.node->state(control.now));
+        return "\n" + registry.render();
+    };
+    auto text = told();
+    CHECK(text.find("\nmyrtleroute_control_proxies 1\n") != text.npos);
+    CHECK(text.find("\nmyrtleroute_control_subscribers 1\n") != text.npos);
+    CHECK(text.find("\nmyrtleroute_control_leads 1\n") != text.npos);
+    CHECK(text.find("\nmyrtleroute_control_current 1\n") != text.npos);
+    CHECK(text.find("\nmyrtleroute_control_term " + std::to_string(control.node->replica().term()) + "\n") !=
+          text.npos);
+    control.node->link_closed(Control::proxy_link, control.now);
+    text = told();
+    CHECK(text.find("\nmyrtleroute_control_proxies 0\n") != text.npos);
+    CHECK(text.find("\nmyrtleroute_control_subscribers 0\n") != text.npos);
+}
+
+TEST_CASE("a node that is cut off from the other voters tells that it is not current") {
+    Control control({"10.0.0.2", "10.0.0.3"});
+    const auto state = control.node->state(control.now);
+    CHECK_FALSE(state.leads);
+    CHECK_FALSE(state.is_current);
+}
