--- a/src/roles/proxy/context.hpp
+++ b/src/roles/proxy/context.hpp
@@ -2,9 +2,11 @@
 #pragma once
 #include <memory>
 
+#include "base/invariants.hpp"
 #include "base/metrics.hpp"
 #include "configuration/node_settings.hpp"
 #include "random.hpp"
+#include "roles/log.hpp"
 #include "routing/route_table.hpp"
 #include "run/loop.hpp"
 
@@ -17,6 +19,9 @@
     run::Loop loop;
     Pcg chance;
     metrics::Registry metrics;
+    Invariants invariants{metrics, [](const std::string& line) {
+                              log_error() << line;
+                          }};
     std::shared_ptr<const routing::RouteTable> table;   // null until a configuration is known
     size_t proxies = 1;                                 // in the fleet
 
--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -85,7 +85,8 @@
                                [this] {
                                    return quotas_.own(context_.now());
                                }}),
-      metrics_listener_(context_, [this] { return figures(); }) {}
+      metrics_listener_(context_, [this] { return figures(); }),
+      held_bytes_cover_bodies_(context_.invariants.named("held_bytes_cover_bodies")) {}
 
 int Proxy::run() {
     if (!start()) return exit_fault;
@@ -120,6 +121,9 @@
 
 void Proxy::forget_if_over(Request& request) {
     if (request.client || request.open_attempts > 0) return;
+    held_bytes_cover_bodies_.check(held_bytes_ >= request.body.size(), [&] {
+        return std::to_string(held_bytes_) + " bytes held, a body of " + std::to_string(request.body.size());
+    });
     held_bytes_ -= request.body.size();
     requests_.erase(request.id);
 }
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -79,6 +79,7 @@
     std::unordered_map<CallId, std::unique_ptr<Request>> requests_;
     CallId next_call_ = 1;
     size_t held_bytes_ = 0;   // bodies of requests
+    Invariant& held_bytes_cover_bodies_;
     memory::Connection* signals_ = nullptr;
     bool hosts_known_ = false;
     enum class Phase { serving, leaving, closing, over } phase_ = Phase::serving;
