Lab: a copy that was on a disk which is lost before the confirmation leaves counts as made

A disk was lost 0.25 ms before the leader's answer, after its copy had been counted: the order was committed with tolerated + 1 copies, and the one loss that is tolerated came after that. Change: the checker notes what a disk held when it is lost, and counts that for orders confirmed later, unless the machine holds the version again. A leader that counts a copy before it is on any disk is found as before: nothing was on the lost disk either.

--- a/src/lab/control/checker.cpp
+++ b/src/lab/control/checker.cpp
@@ -65,11 +65,31 @@
         breaks(Invariant::refused_stays_out, "version " + std::to_string(version) + " was refused and is committed");
 }
 
+bool Checker::holds(const Machine& machine, uint64_t version) {
+    const auto state = machine.safe_state();
+    return state.entry && state.entry->state.version >= version;
+}
+
 size_t Checker::copies_of(uint64_t version, const std::vector<const Machine*>& machines) const {
-    return static_cast<size_t>(std::count_if(machines.begin(), machines.end(), [&](const auto* machine) {
-        const auto state = machine->safe_state();
-        return state.entry && state.entry->state.version >= version;
-    }));
+    return static_cast<size_t>(
+        std::count_if(machines.begin(), machines.end(), [&](const auto* machine) { return holds(*machine, version); }));
+}
+
+// On disks, and on disks that have been lost since.
+size_t Checker::copies_made(uint64_t version, const std::vector<const Machine*>& machines) const {
+    size_t copies = copies_of(version, machines);
+    for (const auto& [process, held] : on_lost_disks_) {
+        const auto again = std::find_if(machines.begin(), machines.end(),
+                                        [process = process](const auto* m) { return m->process() == process; });
+        const bool counted = again != machines.end() && holds(**again, version);
+        copies += held >= version && !counted;
+    }
+    return copies;
+}
+
+void Checker::disk_lost(const Machine& machine) {
+    const auto state = machine.safe_state();
+    on_lost_disks_[machine.process()] = state.entry ? state.entry->state.version : 0;
 }
 
 void Checker::confirmed(const Operation& order, const std::vector<const Machine*>& machines) {
@@ -80,10 +100,10 @@
     if (order.version <= newest_confirmed_) return;   // sent again
     newest_confirmed_ = order.version;
     quota_.limits().acknowledged(order.version, queue_.now());
-    const auto copies = copies_of(order.version, machines);
+    const auto copies = copies_made(order.version, machines);
     if (copies < tolerated_ + 1)
         breaks(Invariant::copies_at_acknowledgement,
-               "version " + std::to_string(order.version) + " is on " + std::to_string(copies) + " disks");
+               "version " + std::to_string(order.version) + " was on " + std::to_string(copies) + " disks");
 }
 
 void Checker::refused(const Operation& order) {
--- a/src/lab/control/checker.hpp
+++ b/src/lab/control/checker.hpp
@@ -16,7 +16,7 @@
 enum class Invariant {
     one_leader_a_term,
     one_body_a_version,          // of what is committed, and of what is confirmed
-    copies_at_acknowledgement,   // on disks, of an order that is confirmed: one more than may be lost, and a majority
+    copies_at_acknowledgement,   // made on disks, of an order that is confirmed: one more than may be lost
     copies_before_a_loss,        // of the newest confirmed order, whenever nothing is out of order
     linearizable,                // orders and readings
     refused_stays_out,           // what was refused is never committed
@@ -47,6 +47,9 @@
     // An order was confirmed by a machine; `machines` are all whose disks count.
     void confirmed(const Operation& order, const std::vector<const Machine*>& machines);
     void refused(const Operation& order);
+    // The machine is about to lose its disk. A copy that was on it has been made: an order that was committed with it may
+    // be confirmed a moment later.
+    void disk_lost(const Machine& machine);
     void drain_acknowledged(const std::string& host, registry::HostState state, const Machine& by,
                             const std::vector<const Machine*>& machines);
     // Nothing is out of order at this moment: a disk may be lost.
@@ -67,7 +70,9 @@
     const std::map<std::string, std::pair<registry::HostState, Time>>& drains() const { return drains_; }
 
 private:
+    static bool holds(const Machine& machine, uint64_t version);
     size_t copies_of(uint64_t version, const std::vector<const Machine*>& machines) const;
+    size_t copies_made(uint64_t version, const std::vector<const Machine*>& machines) const;
 
     const Queue& queue_;
     size_t tolerated_;
@@ -83,6 +88,7 @@
     std::map<uint64_t, std::set<std::string>> refused_;                    // bodies by version
     std::map<std::string, std::pair<registry::HostState, Time>> drains_;   // hosts that were acknowledged
     uint64_t newest_confirmed_ = 0;
+    std::map<ProcessId, uint64_t> on_lost_disks_;   // the newest version that a machine's last disk held
 
 public:
     // Bodies have numbers, so that histories are small.
--- a/src/lab/control/world.cpp
+++ b/src/lab/control/world.cpp
@@ -360,6 +360,7 @@
 
 void World::lose_disk(Machine& machine, Span span, bool rots) {
     if (lost() == 0) checker_.before_a_loss(disks());
+    checker_.disk_lost(machine);
     machine.end(rots ? Machine::End::killed : Machine::End::without_power);
     if (rots)
         machine.disk().rot(chance_);
@@ -375,6 +376,7 @@
     auto& successor = add_machine(false);
     successor.succeeds = true;
     if (!planned) {
+        checker_.disk_lost(machine);
         machine.end(Machine::End::without_power);
         machine.gone = true;
         successor.back_at = queue_.now();
