--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -32,15 +32,19 @@
     return 2 * static_cast<size_t>(present) > voters().size();
 }
 
-bool Replica::has_quorum_at(Time now) const {
+bool Replica::has_answers_within(Span span, Time now) const {
     std::set<ReplicaId> live{self_};
     for (const auto& [id, peer] : peers_)
-        if (now - peer.heard < options_.least_election_timeout) live.insert(id);
+        if (now - peer.heard < span) live.insert(id);
     return has_quorum(live);
 }
 
+bool Replica::leads_with_answers_within(Span span, Time now) const {
+    return role_ == Role::leader && has_answers_within(span, now);
+}
+
 bool Replica::is_current(Time now) const {
-    if (role_ == Role::leader) return has_quorum_at(now);
+    if (role_ == Role::leader) return has_answers_within(options_.least_election_timeout, now);
     return leader_ && now - contact_ < options_.least_election_timeout;
 }
 
@@ -230,7 +234,7 @@
 
 // A leader that a majority does not answer steps down, so that nobody takes it for one.
 void Replica::check_quorum(Time now) {
-    if (!has_quorum_at(now)) follow(hard_.term, std::nullopt, now);
+    if (!has_answers_within(options_.least_election_timeout, now)) follow(hard_.term, std::nullopt, now);
 }
 
 }   // namespace myrtleroute::consensus
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -115,6 +115,9 @@
     // answers of a majority to rounds that it sent within `least_election_timeout`; a follower on the leader's word,
     // within that time, that it has had the follower's answer. So it is proof of a majority twice that old at the most.
     bool is_current(Time now) const;
+    // Whether this replica leads and a majority has answered a round that it sent within that time. As soon as so much time
+    // has passed since another replica was elected, this is true of no earlier leader.
+    bool leads_with_answers_within(Span span, Time now) const;
     // Whether this replica's disk may be lost without loss: every voter that answers the leader has its last entry.
     bool is_copied() const;
     bool is_voter(const ReplicaId& id) const;
@@ -169,7 +172,7 @@
     void check_quorum(Time now);
     void change_voters(Time now);
     bool has_quorum(const std::set<ReplicaId>& of) const;
-    bool has_quorum_at(Time now) const;   // of voters that have answered lately
+    bool has_answers_within(Span span, Time now) const;   // of a majority of the voters
     bool is_everywhere() const;
     bool is_replaced(const ReplicaId& voter, Time now) const;
     static void note_round(std::deque<Round>& rounds, uint64_t number, Time at);
--- a/src/lab/control/callers.hpp
+++ b/src/lab/control/callers.hpp
@@ -3,12 +3,14 @@
 #pragma once
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "lab/control/checker.hpp"
 #include "lab/control/tenants.hpp"
+#include "leases/holder.hpp"
 #include "registry/host_table.hpp"
 #include "roles/proxy/subscriber.hpp"
 
@@ -112,6 +114,8 @@
     void carry_out();
     void take(const messages::Message& message);
     void configured(const messages::ConfigurationTold& told);
+    void ask_for_leases();
+    void lease_decisions();
     void do_or_wait(std::function<void()> what);   // now, or when it no longer stands still
     void thaw(uint64_t life);
 
@@ -126,7 +130,10 @@
     uint64_t life_ = 0, version_ = 0;
     uint64_t confirmed_when_asked_ = 0;   // newest version when the subscription was opened
     bool knows_hosts_ = false, first_told_ = false;
-    ProxyQuotas quotas_;
+    // As src/roles/proxy/proxy.cpp wires them.
+    std::unique_ptr<leases::Holder> leases_;
+    std::map<uint64_t, std::function<void()>> waiting_;   // what is to be done once granted, by ticket
+    uint64_t next_ticket_ = 1;
     std::shared_ptr<const Tenants> tenants_;   // of the configuration that it was told; null before
     Time frozen_until_ = long_ago, back_at_ = long_ago;
     std::deque<std::function<void()>> held_back_;
--- a/src/lab/control/world.cpp
+++ b/src/lab/control/world.cpp
@@ -90,6 +90,9 @@
     settings.counts_for_quorum = true;
     settings.tolerated_machines = static_cast<int>(plan_.tolerated);
     settings.data_directory = "virtual";
+    settings.quota_slack = limit_rule.slack;
+    settings.quota_over = limit_rule.over;
+    settings.quota_window = limit_rule.window;
     Machine::Surroundings surroundings;
     surroundings.process_at = [this](const Endpoint& peer) {
         return process_at(peer);
--- /dev/null
+++ b/src/leases/allocator.cpp
@@ -0,0 +1,227 @@
+#include "leases/allocator.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace myrtleroute::leases {
+namespace {
+
+constexpr size_t most_holders = 4096;
+constexpr double rounding = 1e-6;   // of the depth
+constexpr double scarce = 0.5;   // of what may be in the pool and lent: below it the limit binds, if all is asked for
+constexpr double nearly_all = 0.95;      // of the fill
+constexpr Span held_for{2};              // of its demand, a holder has at the most
+constexpr double threshold_part = 0.2;   // of a holder's target
+// The fill is worked out for so long ahead, at each tick; after that there is none until the next tick.
+constexpr Span fill_holds{0.2};
+
+}   // namespace
+
+void Allocator::limits(std::map<std::string, Limit> limits, Time now) {
+    // One that has no limit any more is kept until all that was lent of it has ended: it may come back.
+    for (auto& [name, tenant] : tenants_)
+        if (!limits.count(name)) limits[name] = {};
+    for (const auto& [name, limit] : limits) {
+        auto [known, fresh] = tenants_.try_emplace(name);
+        auto& tenant = known->second;
+        if (!fresh && tenant.limit == limit) continue;
+        if (!fresh) refill(tenant, now);
+        tenant.limit = limit;
+        tenant.budget = budget_of(limit, rule_);
+        if (fresh) tenant.filled = now;
+        plan_fill(tenant, now);
+        tenant.level = std::min(tenant.level, room(tenant, now));
+    }
+}
+
+void Allocator::begin(Time now, Before before) {
+    before_ = before;
+    lent_before_gone_ = now + terms_.lent;
+    reserves_before_gone_ = now + terms_.reserve;
+    holders_.clear();
+    for (auto& [name, tenant] : tenants_) {
+        Tenant fresh;
+        fresh.limit = tenant.limit;
+        fresh.budget = tenant.budget;
+        fresh.filled = now;
+        fresh.level = before == Before::none ? 0 : -fresh.budget.debt();   // it may have lent so much ahead
+        plan_fill(fresh, now);
+        tenant = std::move(fresh);
+    }
+}
+
+// What the pool gets of the fill. Out of touch, a holder uses its reserve by itself; until all reserves that an earlier
+// allocator promised have ended, those that are not known may be in use.
+void Allocator::plan_fill(Tenant& tenant, Time now) {
+    tenant.filled_until = now + fill_holds;
+    double elsewhere = 0;
+    for (const auto& [id, share] : tenant.shares) {
+        const auto holder = holders_.find(id);
+        if (holder == holders_.end() || holder->second.pooled_until < tenant.filled_until) elsewhere += share.reserve;
+    }
+    if (before_ != Before::none && now < reserves_before_gone_)
+        elsewhere += std::max(0.0, tenant.budget.reserved_fill() - tenant.reserved);
+    tenant.fill = std::max(0.0, tenant.budget.fill - elsewhere);
+}
+
+// Most that an earlier allocator may have lent and that has neither ended nor been reported.
+double Allocator::unknown(const Tenant& tenant, Time now) const {
+    if (before_ == Before::none || now >= lent_before_gone_) return 0;
+    const auto most = before_ == Before::one ? tenant.budget.lent() : tenant.budget.pool();
+    return std::max(0.0, most - tenant.first_reported);
+}
+
+// Most units that may stand in the pool, or be lent beyond what is.
+double Allocator::room(const Tenant& tenant, Time now) const {
+    return std::max(0.0, tenant.budget.pool() - tenant.lent - unknown(tenant, now));
+}
+
+void Allocator::refill(Tenant& tenant, Time now) {
+    const double passed = (std::min(now, tenant.filled_until) - tenant.filled).s;
+    tenant.level = std::min(tenant.level + tenant.fill * std::max(0.0, passed), room(tenant, now));
+    tenant.filled = std::max(tenant.filled, now);
+}
+
+void Allocator::count(Tenant& tenant, const Share& before, const Share& after) {
+    tenant.lent += after.lent - before.lent;
+    tenant.reserved += after.reserve - before.reserve;
+    tenant.asked += after.asked - before.asked;
+}
+
+void Allocator::expire(Tenant& tenant, Time now) {
+    tenant.lent = tenant.reserved = tenant.asked = 0;   // anew, so that no rounding adds up
+    for (auto it = tenant.shares.begin(); it != tenant.shares.end();) {
+        const auto holder = holders_.find(it->first);
+        auto& share = it->second;
+        if (holder == holders_.end() || now >= holder->second.lent_until) share.lent = share.granted = share.asked = 0;
+        if (holder == holders_.end() || now >= holder->second.reserve_until) share.reserve = 0;
+        const bool empty = share.lent <= 0 && share.reserve <= 0 && share.asked <= 0;
+        count(tenant, {}, share);
+        it = empty ? tenant.shares.erase(it) : std::next(it);
+    }
+}
+
+void Allocator::tick(Time now) {
+    for (auto& [name, tenant] : tenants_) {
+        refill(tenant, now);
+        expire(tenant, now);
+        plan_fill(tenant, now);
+    }
+    std::erase_if(tenants_, [](const auto& known) { return known.second.is_over(); });
+    std::erase_if(holders_, [&](const auto& known) {
+        return now >= known.second.lent_until && now >= known.second.reserve_until;
+    });
+}
+
+bool Allocator::limit_binds(const Tenant& tenant, Time now) const {
+    const double left = tenant.level + tenant.lent;
+    return tenant.asked > nearly_all * tenant.budget.fill && left < scarce * (tenant.lent + room(tenant, now));
+}
+
+// By demand. What others have is not taken from them here: it is free once they have said that they have less.
+double Allocator::reserve_for(const Tenant& tenant, const Share& share, Time now) const {
+    const double part = tenant.asked > 0 ? share.asked / tenant.asked : 0;
+    const double by_demand = tenant.budget.reserved_fill() * part;
+    const double free = tenant.budget.reserved_fill() - tenant.reserved;
+    if (free < 0) return std::min(by_demand, share.reserve);   // the limit has been lowered
+    if (before_ != Before::none && now < reserves_before_gone_) return share.reserve;
+    return std::min(by_demand, share.reserve + free);
+}
+
+LentLease Allocator::lend(Tenant& tenant, Share& share, const HeldLease& asked, Time now) {
+    const auto& budget = tenant.budget;
+    const double part = tenant.asked > 0 ? share.asked / tenant.asked : 0;
+    const bool binds = limit_binds(tenant, now);
+    LentLease lent;
+    const double may_be_held = std::min(budget.lent_usually(), tenant.lent + room(tenant, now));
+    lent.target = std::min(may_be_held * part, share.asked * held_for.s);
+    lent.threshold = binds ? lent.target * threshold_part : 0;
+    lent.overload = budget.fill > 0 ? tenant.asked / budget.fill : 0;
+    const double may_be_lent = std::max(0.0, budget.lent() - tenant.lent);
+    const double available = std::max(0.0, tenant.level);
+    // To be had without asking: where units are scarce, in proportion to the demand.
+    const double wanted = std::max(0.0, lent.target - share.lent);
+    lent.granted = std::min({wanted, binds ? available * part : available, may_be_lent});
+    // For requests whose turn it is, ahead of the fill where need be.
+    const double lacking = std::max(0.0, asked.needed - lent.granted);
+    const double ahead = std::max(0.0, tenant.level - lent.granted + budget.debt());
+    lent.granted += std::min({lacking, ahead, std::max(0.0, may_be_lent - lent.granted)});
+    tenant.level -= lent.granted;
+    const Share before = share;
+    share.granted = lent.granted;
+    share.lent += lent.granted;
+    lent.reserve = reserve_for(tenant, share, now);
+    share.reserve = std::max(share.reserve, lent.reserve);   // a smaller one counts once the holder has it
+    count(tenant, before, share);
+    if (budget.reserved_fill() > 0) lent.gathered = budget.isolated() * lent.reserve / budget.reserved_fill();
+    return lent;
+}
+
+// A machine runs one process of a role, and starts it when the one before has ended.
+void Allocator::end_other_lives(const HolderId& living) {
+    for (auto it = holders_.lower_bound({living.node, 0}); it != holders_.end() && it->first.node == living.node;) {
+        if (it->first == living) {
+            ++it;
+            continue;
+        }
+        for (auto& [name, tenant] : tenants_) {
+            const auto share = tenant.shares.find(it->first);
+            if (share == tenant.shares.end()) continue;
+            count(tenant, share->second, {});
+            tenant.shares.erase(share);
+        }
+        it = holders_.erase(it);
+    }
+}
+
+std::optional<LeaseReply> Allocator::ask(const LeaseAsk& ask, Time now) {
+    if (holders_.size() >= most_holders && !holders_.count(ask.holder)) return {};
+    const auto [known, is_new] = holders_.try_emplace(ask.holder);
+    auto& holder = known->second;
+    if (ask.number <= holder.last_ask) return {};
+    if (is_new) end_other_lives(ask.holder);
+    const bool took_reply = !is_new && ask.applied == holder.last_ask;
+    if (took_reply) holder.pooled_until = holder.replied + terms_.pooled;
+    holder.last_ask = ask.number;
+    holder.replied = now;
+    holder.lent_until = now + terms_.lent;
+    holder.reserve_until = now + terms_.reserve;
+    LeaseReply reply{ask.holder, ask.number, {}};
+    for (auto& [name, tenant] : tenants_) {
+        const auto told = ask.tenants.find(name);
+        if (told == ask.tenants.end() && !tenant.shares.count(ask.holder)) continue;
+        refill(tenant, now);
+        const HeldLease held = told == ask.tenants.end() ? HeldLease{} : told->second;
+        if (is_new) tenant.first_reported += held.held + held.returned;
+        auto& share = tenant.shares[ask.holder];
+        const Share before = share;
+        // What the last reply granted, if that was not taken, will never be used.
+        const double back = held.returned + (took_reply ? 0 : before.granted);
+        share = {held.held, 0, held.reserve, held.asked};
+        count(tenant, before, share);
+        tenant.level = std::min(tenant.level + back, room(tenant, now));
+        if (told != ask.tenants.end()) reply.tenants[name] = lend(tenant, share, held, now);
+    }
+    return reply;
+}
+
+std::optional<std::string> Allocator::violated_invariant() const {
+    for (const auto& [name, tenant] : tenants_) {
+        const auto& budget = tenant.budget;
+        const double rest = rounding * budget.depth + 1e-6;
+        if (tenant.level < -budget.debt() - rest) return "tenant " + name + ": more is lent ahead than may be";
+        if (tenant.level > 0 && tenant.level + tenant.lent > budget.pool() + rest)
+            return "tenant " + name + ": the pool and what is lent are more than may be";
+    }
+    return {};
+}
+
+std::optional<Allocator::Amounts> Allocator::amounts(const std::string& name) const {
+    const auto known = tenants_.find(name);
+    if (known == tenants_.end()) return {};
+    const auto& tenant = known->second;
+    return Amounts{tenant.level, tenant.lent, tenant.fill, tenant.asked};
+}
+
+}   // namespace myrtleroute::leases
--- /dev/null
+++ b/src/leases/holder.cpp
@@ -0,0 +1,216 @@
+#include "leases/holder.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace myrtleroute::leases {
+namespace {
+
+constexpr Span averaged{2};                           // demand
+constexpr Span ask_every{0.25}, ask_unchanged{0.5};   // the latter: nothing was used since
+constexpr Span reply_within{0.4};                     // then another ask is sent
+constexpr Span wait_within{0.1};                      // of a request, for units
+constexpr Span silent{0.8};                           // without a reply for so long, requests don't wait for one
+constexpr Span forgotten{10};                         // a tenant of whom nothing is asked
+constexpr size_t most_waiting = 256, most_tenants = 8192;
+constexpr double much_more = 1.1;    // than the target: then the rest is returned
+constexpr double hopeless = 1.5;     // overload at which coming back soon is of no use
+constexpr Span soon{0.5}, late{5};   // when to come back
+constexpr double rounding = 1e-6;
+
+}   // namespace
+
+void Holder::note_asked(Lease& lease, double cost, Time now) const {
+    const double passed = std::clamp((now - lease.averaged_at).s, 0.0, 1e3);
+    lease.asked = lease.asked * std::exp(-passed / averaged.s) + cost / averaged.s;
+    lease.averaged_at = now;
+}
+
+void Holder::gain(double& into, double units) {
+    into += units;
+    totals_.got += units;
+}
+
+void Holder::settle(Lease& lease, Time now) {
+    if (now >= held_until_) lease.held = 0;
+    const auto from = std::max(lease.gathered_at, gather_from_);
+    const auto until = std::min(now, gather_until_);
+    if (until > from && lease.lent.reserve > 0) {
+        const double room = std::max(0.0, lease.lent.gathered - lease.gathered);
+        gain(lease.gathered, std::min(room, lease.lent.reserve * (until - from).s));
+    }
+    lease.gathered_at = now;
+    if (now < gather_until_) return;
+    lease.gathered = 0;
+    lease.lent.reserve = lease.lent.gathered = 0;
+}
+
+void Holder::use(Lease& lease, double cost) {
+    const double gathered = std::min(cost, lease.gathered);
+    lease.gathered -= gathered;
+    lease.held -= cost - gathered;
+    lease.changed = true;
+    totals_.used += cost;
+}
+
+void Holder::connected(bool is_up) {
+    connected_ = is_up;
+    asked_at_ = long_ago;
+}
+
+// Whether a request that waits now may hear of its units in time.
+bool Holder::may_be_answered(Time now) const {
+    if (!connected_) return false;
+    return now - replied_ < silent || asked_at_ <= long_ago || now - asked_at_ < wait_within;
+}
+
+Decision Holder::refusal(const Lease& lease, double cost, RefusalCause cause, Time now) const {
+    Span retry_after = soon;
+    if (cause == RefusalCause::out_of_touch) {
+        const double begins = std::max(0.0, (gather_from_ - now).s);
+        const double lacking = cost - lease.usable();
+        const bool gathers = lease.lent.reserve > 0 && lacking <= lease.lent.gathered;
+        retry_after = gathers ? std::clamp(Span{begins + lacking / lease.lent.reserve}, soon, late) : late;
+    } else if (lease.lent.overload > hopeless) {
+        retry_after = late;
+    }
+    return {Verdict::refused, cause, retry_after};
+}
+
+std::optional<Holder::Standing> Holder::standing(const std::string& tenant) const {
+    const auto known = leases_.find(tenant);
+    if (known == leases_.end()) return {};
+    return Standing{known->second.usable(), known->second.lent.overload};
+}
+
+Decision Holder::request(const std::string& tenant, double cost, uint64_t ticket, Time now) {
+    if (leases_.size() >= most_tenants && !leases_.count(tenant))
+        return {Verdict::refused, RefusalCause::not_lent, late};
+    auto& lease = leases_[tenant];
+    note_asked(lease, cost, now);
+    lease.requested_at = now;
+    settle(lease, now);
+    const bool in_touch = connected_ && now - replied_ < silent;
+    double free = lease.usable();
+    for (const auto& waiting : lease.waiting) free -= waiting.cost;
+    // Where the limit binds, requests have their turn alike, whatever their size.
+    if (in_touch && lease.lent.threshold > 0 && free < lease.lent.threshold)
+        return refusal(lease, cost, RefusalCause::over_limit, now);
+    if (free >= cost - rounding) {
+        use(lease, cost);
+        return {};
+    }
+    if (!may_be_answered(now) || waiting_count_ >= most_waiting)
+        return refusal(lease, cost, RefusalCause::out_of_touch, now);
+    lease.waiting.push_back({ticket, cost, now + wait_within, 0});
+    lease.changed = true;
+    ++waiting_count_;
+    find_next_deadline();
+    return {Verdict::waits, {}, {}};
+}
+
+void Holder::withdraw(uint64_t ticket) {
+    for (auto& [name, lease] : leases_)
+        waiting_count_ -= std::erase_if(lease.waiting, [&](const auto& waiting) { return waiting.ticket == ticket; });
+    find_next_deadline();
+}
+
+void Holder::find_next_deadline() {
+    waits_until_ = Time{1e18};
+    for (const auto& [name, lease] : leases_)
+        if (!lease.waiting.empty()) waits_until_ = std::min(waits_until_, lease.waiting.front().until);
+}
+
+// In the order in which they came. `replied`: a reply has just come.
+void Holder::decide_waiting(Lease& lease, bool replied, Time now) {
+    settle(lease, now);
+    std::deque<Waiting> left;
+    for (auto& waiting : lease.waiting) {
+        const bool answered = replied && waiting.asked_with > 0 && waiting.asked_with <= applied_;
+        if (left.empty() && lease.usable() >= waiting.cost - rounding) {
+            use(lease, waiting.cost);
+            decided_.push_back({waiting.ticket, {}});
+        } else if (answered || now >= waiting.until) {
+            const auto why = answered ? RefusalCause::not_lent : RefusalCause::out_of_touch;
+            decided_.push_back({waiting.ticket, refusal(lease, waiting.cost, why, now)});
+        } else {
+            left.push_back(waiting);
+        }
+    }
+    waiting_count_ -= lease.waiting.size() - left.size();
+    lease.waiting = std::move(left);
+}
+
+void Holder::tick(Time now) {
+    for (auto& [name, lease] : leases_)
+        if (!lease.waiting.empty()) decide_waiting(lease, false, now);
+    find_next_deadline();
+}
+
+HeldLease Holder::report(Lease& lease, Time now) {
+    settle(lease, now);
+    note_asked(lease, 0, now);
+    HeldLease told;
+    told.asked = lease.asked;
+    double needed = -lease.usable();
+    for (auto& waiting : lease.waiting) {
+        needed += waiting.cost;
+        waiting.asked_with = number_;
+    }
+    told.needed = std::max(0.0, needed);
+    if (lease.waiting.empty() && applied_ > 0 && lease.held > much_more * lease.lent.target) {
+        told.returned = lease.held - lease.lent.target;
+        lease.held -= told.returned;
+        totals_.got -= told.returned;
+    }
+    told.held = lease.held;
+    told.reserve = lease.lent.reserve;
+    lease.changed = false;
+    return told;
+}
+
+std::optional<LeaseAsk> Holder::ask(Time now) {
+    if (!connected_) return {};
+    if (asked_at_ > long_ago && now - asked_at_ < reply_within) return {};
+    std::erase_if(leases_, [&](const auto& known) {
+        return known.second.waiting.empty() && now - known.second.requested_at > forgotten;
+    });
+    if (leases_.empty()) return {};
+    bool urgent = false, changed = false;
+    for (const auto& [name, lease] : leases_) {
+        changed = changed || lease.changed;
+        urgent = urgent || !lease.waiting.empty();
+    }
+    if (!urgent && now - last_ask_ < (changed ? ask_every : ask_unchanged)) return {};
+    LeaseAsk ask{id_, ++number_, applied_, {}};
+    for (auto& [name, lease] : leases_) ask.tenants[name] = report(lease, now);
+    asked_at_ = last_ask_ = now;
+    return ask;
+}
+
+void Holder::apply(const LeaseReply& reply, Time now) {
+    if (reply.holder != id_ || reply.number != number_ || asked_at_ <= long_ago) return;
+    for (auto& [name, lease] : leases_) settle(lease, now);   // by what held until now
+    const Time sent = std::exchange(asked_at_, long_ago);
+    applied_ = reply.number;
+    replied_ = now;
+    // What was held before is held on: this reply's ask has named it.
+    held_until_ = sent + terms_.lent;
+    gather_from_ = now + terms_.pooled;
+    gather_until_ = sent + terms_.reserve;
+    for (const auto& [name, lent] : reply.tenants) {
+        const auto known = leases_.find(name);
+        if (known == leases_.end()) continue;
+        auto& lease = known->second;
+        lease.lent = lent;
+        lease.gathered = std::min(lease.gathered, lent.gathered);
+        if (now < held_until_) gain(lease.held, lent.granted);
+    }
+    for (auto& [name, lease] : leases_)
+        if (!lease.waiting.empty()) decide_waiting(lease, true, now);
+    find_next_deadline();
+}
+
+}   // namespace myrtleroute::leases
--- /dev/null
+++ b/src/leases/limit.hpp
@@ -0,0 +1,53 @@
+// A limit that all proxies share, and how its allowance is divided so that the rule on it holds by construction.
+//
+// The rule: in every span of `window` no more than (rate x window + burst) x (1 + over) + slack units are used, summed
+// over all proxies. Units come into being at the rate of the limit and wait, until they are used, in one of the places
+// that Budget names; as long as no more than Budget::depth of them wait in all, the rule holds. docs/limits.md has the
+// proof.
+#pragma once
+#include <algorithm>
+
+#include "time.hpp"
+
+namespace myrtleroute::leases {
+
+// Of one tenant. A rate of 0 is no limit.
+struct Limit {
+    double rate = 0;    // units a second
+    double burst = 0;   // units beyond the rate
+    bool operator==(const Limit&) const = default;
+};
+
+// What the deployment tolerates beyond a limit, and in which window it is counted.
+struct LimitRule {
+    double slack = 0;   // units that all proxies together may use beyond it
+    double over = 0;    // share beyond it
+    Span window{8};
+};
+
+// The parts of the allowance, in units. They add up to `depth`.
+struct Budget {
+    double fill = 0;    // a second: how fast units come into being
+    double depth = 0;   // most units that wait anywhere
+
+    double pool() const { return depth * 0.75; }          // at the allocator and lent out, together
+    double lent() const { return depth * 0.6; }           // lent out: the most
+    double lent_usually() const { return depth * 0.5; }   // lent out to be had without asking
+    double debt() const { return depth * 0.05; }          // lent ahead of the fill, for single large requests
+    double isolated() const { return depth * 0.2; }       // gathered by proxies that are out of touch, together
+    // Of the fill: what proxies out of touch make use of by themselves, at the most, all of them together.
+    double reserved_fill() const { return fill * 0.5; }
+};
+
+inline Budget budget_of(const Limit& limit, const LimitRule& rule) {
+    // Where the rule allows next to nothing beyond the rate, a part of the rate is given up for room to lend.
+    constexpr double least_depth = 0.15;   // of the allowance
+    const double window = std::max(rule.window.s, 1e-3);
+    const double allowance = (limit.rate * window + limit.burst) * (1 + rule.over) + rule.slack;
+    Budget budget;
+    budget.depth = std::max(allowance - limit.rate * window, least_depth * allowance);
+    budget.fill = (allowance - budget.depth) / window;
+    return budget;
+}
+
+}   // namespace myrtleroute::leases
--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -100,12 +100,46 @@
 
 }   // namespace registry
 
-namespace routing {
+namespace leases {
+namespace {
+
+// Units go over the wire in whole numbers: what is lent is rounded down, what is held is rounded up.
+double rounded_down(double units) { return std::floor(units); }
+double rounded_up(double units) { return std::ceil(units); }
+
+}   // namespace
 
-void to_json(Json& j, const QuotaRates& r) { j = Json::array({std::round(r.asked), std::round(r.granted)}); }
-void from_json(const Json& j, QuotaRates& r) { j.at(0).get_to(r.asked), j.at(1).get_to(r.granted); }
+void to_json(Json& j, const HolderId& h) { j = Json::array({h.node, h.life}); }
+void from_json(const Json& j, HolderId& h) { j.at(0).get_to(h.node), j.at(1).get_to(h.life); }
+void to_json(Json& j, const HeldLease& l) {
+    j = Json::array({std::round(l.asked), rounded_up(l.held), rounded_down(l.returned), rounded_up(l.needed),
+                     rounded_up(l.reserve)});
+}
+void from_json(const Json& j, HeldLease& l) {
+    j.at(0).get_to(l.asked), j.at(1).get_to(l.held), j.at(2).get_to(l.returned);
+    j.at(3).get_to(l.needed), j.at(4).get_to(l.reserve);
+}
+void to_json(Json& j, const LentLease& l) {
+    j = Json::array({rounded_down(l.granted), rounded_down(l.target), std::round(l.threshold), rounded_down(l.reserve),
+                     rounded_down(l.gathered), std::round(l.overload * 100) / 100});
+}
+void from_json(const Json& j, LentLease& l) {
+    j.at(0).get_to(l.granted), j.at(1).get_to(l.target), j.at(2).get_to(l.threshold);
+    j.at(3).get_to(l.reserve), j.at(4).get_to(l.gathered), j.at(5).get_to(l.overload);
+}
+void to_json(Json& j, const LeaseAsk& m) {
+    j = {{"holder", m.holder}, {"number", m.number}, {"applied", m.applied}, {"tenants", m.tenants}};
+}
+void from_json(const Json& j, LeaseAsk& m) {
+    j.at("holder").get_to(m.holder), j.at("number").get_to(m.number);
+    j.at("applied").get_to(m.applied), j.at("tenants").get_to(m.tenants);
+}
+void to_json(Json& j, const LeaseReply& m) { j = {{"holder", m.holder}, {"number", m.number}, {"tenants", m.tenants}}; }
+void from_json(const Json& j, LeaseReply& m) {
+    j.at("holder").get_to(m.holder), j.at("number").get_to(m.number), j.at("tenants").get_to(m.tenants);
+}
 
-}   // namespace routing
+}   // namespace leases
 
 namespace messages {
 namespace {
@@ -132,7 +166,8 @@
 MYRTLEROUTE_KIND(HostsHeard, "hosts_heard");
 MYRTLEROUTE_KIND(ProxiesTold, "proxies");
 MYRTLEROUTE_KIND(Subscribe, "subscribe");
-MYRTLEROUTE_KIND(DemandTold, "demand");
+MYRTLEROUTE_KIND(leases::LeaseAsk, "lease_ask");
+MYRTLEROUTE_KIND(leases::LeaseReply, "lease_reply");
 MYRTLEROUTE_KIND(ConfigurationTold, "configuration");
 MYRTLEROUTE_KIND(FleetTold, "fleet");
 #undef MYRTLEROUTE_KIND
@@ -191,26 +226,18 @@
 void from_json(const Json& j, HostsConfirmed& m) { j.at("confirm").get_to(m.confirm); }
 void to_json(Json& j, const HostsHeard& m) { j = {{"sequences", m.sequences}}; }
 void from_json(const Json& j, HostsHeard& m) { j.at("sequences").get_to(m.sequences); }
-void to_json(Json& j, const ProxiesTold& m) { j = {{"proxies", m.proxies}, {"departed", m.departed}}; }
-void from_json(const Json& j, ProxiesTold& m) {
-    j.at("proxies").get_to(m.proxies), j.at("departed").get_to(m.departed);
-}
+void to_json(Json& j, const ProxiesTold& m) { j = {{"proxies", m.proxies}}; }
+void from_json(const Json& j, ProxiesTold& m) { j.at("proxies").get_to(m.proxies); }
 void to_json(Json& j, const Subscribe& m) { j = {{"node", m.node}, {"version", m.version}}; }
 void from_json(const Json& j, Subscribe& m) { j.at("node").get_to(m.node), j.at("version").get_to(m.version); }
-void to_json(Json& j, const DemandTold& m) { j = {{"demand", m.demand}}; }
-void from_json(const Json& j, DemandTold& m) { j.at("demand").get_to(m.demand); }
 void to_json(Json& j, const ConfigurationTold& m) { j = {{"version", m.version}, {"body", m.body}}; }
 void from_json(const Json& j, ConfigurationTold& m) { j.at("version").get_to(m.version), j.at("body").get_to(m.body); }
 void to_json(Json& j, const FleetTold& m) {
-    j = {{"current", m.current},
-         {"place", m.place},
-         {"proxies", m.proxies},
-         {"controls", m.controls},
-         {"demand", m.demand}};
+    j = {{"current", m.current}, {"place", m.place}, {"proxies", m.proxies}, {"controls", m.controls}};
 }
 void from_json(const Json& j, FleetTold& m) {
     j.at("current").get_to(m.current), j.at("place").get_to(m.place), j.at("proxies").get_to(m.proxies);
-    j.at("controls").get_to(m.controls), j.at("demand").get_to(m.demand);
+    j.at("controls").get_to(m.controls);
 }
 
 std::string encode(const Message& message) {
--- a/src/messages/messages.hpp
+++ b/src/messages/messages.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "consensus/types.hpp"
+#include "leases/lease.hpp"
 #include "registry/host_table.hpp"
-#include "routing/quota.hpp"
 
 namespace myrtleroute::messages {
 
@@ -51,13 +51,9 @@
     std::vector<std::pair<std::string, uint64_t>> sequences;   // by host id
 };
 
-// What the requests of tenants ask for and what is granted to them, by tenant.
-using Demand = std::map<std::string, routing::QuotaRates>;
-
-// Proxies subscribed at the sender, with what is asked of each.
+// Proxies subscribed at the sender, by node name.
 struct ProxiesTold {
-    std::map<std::string, Demand> proxies;    // by node name
-    std::map<std::string, Demand> departed;   // what those that have just left told last
+    std::vector<std::string> proxies;
 };
 
 // First message of a proxy on its subscription.
@@ -66,11 +62,6 @@
     uint64_t version = 0;   // of the configuration it has
 };
 
-// What has been asked of a proxy lately.
-struct DemandTold {
-    Demand demand;
-};
-
 struct ConfigurationTold {
     uint64_t version = 0;
     std::string body;   // as the operator sent it
@@ -82,11 +73,12 @@
     size_t place = 0;       // of the receiver among the proxies
     size_t proxies = 1;
     std::vector<ControlNode> controls;
-    Demand demand;   // of all proxies together
 };
 
+// Proxies ask for leases at the control node to which they subscribe; asks and replies go by way of it to the leader and
+// back.
 using Message = std::variant<PeerHello, ConsensusMessage, HostsTold, HostsConfirmed, HostsHeard, ProxiesTold, Subscribe,
-                             DemandTold, ConfigurationTold, FleetTold>;
+                             leases::LeaseAsk, leases::LeaseReply, ConfigurationTold, FleetTold>;
 
 std::string encode(const Message& message);             // the JSON, without a frame
 std::optional<Message> decode(std::string_view json);   // nothing where it is no sound message
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -30,7 +30,8 @@
               [this](const consensus::ReplicaId& to, const messages::Message& message) {
                   outputs_.push_back(ToPeer{to.endpoint, message});
               }},
-             replica_.self()) {
+             replica_.self()),
+      lending_(replica_, options_.limit_rule) {
     hosts_.remember(stored.hosts, now);
     for (const auto& seed : options_.seeds)
         if (seed.peer != options_.self.peer) known_[seed.peer] = seed;
@@ -117,9 +118,9 @@
     carry_out(now);
 }
 
-void Node::link_closed(LinkNumber link, Time now) {
+void Node::link_closed(LinkNumber link, Time) {
     links_.erase(link);
-    proxies_.left(link, now);
+    proxies_.left(link);
     waiting_.erase(link);
     asked_for_.erase(link);
     proven_.erase(link);
@@ -162,7 +163,7 @@
 
 void Node::handle(LinkNumber link, const messages::Subscribe& subscribe, Time now) {
     proxies_.subscribed(link, subscribe.node);
-    tell_fleet(link, proxies_.names(), proxies_.total_demand(), true, now);
+    tell_fleet(link, proxies_.names(), true, now);
     waiting_[link] = subscribe.version;
     begin_subscriptions(now);
 }
@@ -197,7 +198,22 @@
     return is_majority(known);
 }
 
-void Node::handle(LinkNumber link, const messages::DemandTold& demand, Time) { proxies_.demanded(link, demand.demand); }
+// To the leader, which lends; back by way of the control node that the proxy subscribes to.
+void Node::handle(LinkNumber link, const leases::LeaseAsk& ask, Time now) {
+    const auto from = links_.find(link);
+    if (auto reply = lending_.ask(ask, now)) {
+        if (from != links_.end())
+            outputs_.push_back(ToPeer{from->second.peer, std::move(*reply)});
+        else
+            outputs_.push_back(ToLink{link, std::move(*reply)});
+    } else if (from == links_.end() && replica_.leader() && *replica_.leader() != replica_.self()) {
+        outputs_.push_back(ToPeer{replica_.leader()->endpoint, ask});
+    }
+}
+
+void Node::handle(LinkNumber, const leases::LeaseReply& reply, Time) {
+    if (const auto link = proxies_.link_of(reply.holder.node)) outputs_.push_back(ToLink{*link, reply});
+}
 
 void Node::tell_all(const messages::Message& message) {
     for (const auto& [endpoint, node] : known_) outputs_.push_back(ToPeer{endpoint, message});
@@ -208,15 +224,13 @@
         if (!waiting_.count(link)) outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0, false}});
 }
 
-void Node::tell_fleet(LinkNumber link, const std::vector<std::string>& names, const messages::Demand& demand,
-                      bool with_controls, Time now) {
+void Node::tell_fleet(LinkNumber link, const std::vector<std::string>& names, bool with_controls, Time now) {
     messages::FleetTold fleet;
     fleet.current = replica_.is_current(now);
     const auto at = std::lower_bound(names.begin(), names.end(), proxies_.name(link));
     fleet.place = static_cast<size_t>(at - names.begin());
     fleet.proxies = std::max<size_t>(1, names.size());
     if (with_controls) fleet.controls = controls();
-    fleet.demand = demand;
     outputs_.push_back(ToLink{link, std::move(fleet)});
 }
 
@@ -228,6 +242,7 @@
     if (entry->state.version <= told_version_) return;
     told_version_ = entry->state.version;
     told_configuration_ = entry->state.configuration;   // the entry may be replaced by one that is not committed yet
+    lending_.configured(told_configuration_);
     for (const auto link : proxies_.subscribers())
         if (!waiting_.count(link))
             outputs_.push_back(ToLink{link, messages::ConfigurationTold{told_version_, told_configuration_}});
@@ -321,6 +336,7 @@
     hosts_.tick(now, current);
     proxies_.tick(now);
     tell_configuration();
+    lending_.tick(now);
     begin_subscriptions(now);
     if (now >= proxies_at_) {
         proxies_at_ = now + proxies_every;
@@ -331,8 +347,7 @@
         const bool with_controls = std::exchange(known_told_, known_.size()) != known_.size();
         current_told_ = current;
         const auto names = proxies_.names();
-        const auto demand = proxies_.total_demand();
-        for (const auto link : proxies_.subscribers()) tell_fleet(link, names, demand, with_controls, now);
+        for (const auto link : proxies_.subscribers()) tell_fleet(link, names, with_controls, now);
     }
     if (now >= hosts_at_) {
         hosts_at_ = now + hosts_every;
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -14,6 +14,7 @@
 #include "consensus/replica.hpp"
 #include "roles/control/configuration_service.hpp"
 #include "roles/control/host_service.hpp"
+#include "roles/control/lending_service.hpp"
 #include "roles/control/node_figures.hpp"
 #include "roles/control/outputs.hpp"
 #include "roles/control/proxy_directory.hpp"
@@ -26,6 +27,7 @@
     bool may_vote = false;                      // this machine counts for the quorum
     consensus::ReplicaOptions replica;
     registry::HostTableOptions hosts;
+    leases::LimitRule limit_rule;
     uint64_t seed = 1;
 };
 
@@ -58,6 +60,7 @@
     Outputs take_outputs() { return std::exchange(outputs_, {}); }
     std::vector<Endpoint> peers() const;   // to keep connections to
     const consensus::Replica& replica() const { return replica_; }
+    const LendingService& lending() const { return lending_; }
     NodeState state(Time now) const;   // for the figures
 
 private:
@@ -73,7 +76,8 @@
     void handle(LinkNumber link, const messages::HostsHeard& heard, Time now);
     void handle(LinkNumber link, const messages::ProxiesTold& proxies, Time now);
     void handle(LinkNumber link, const messages::Subscribe& subscribe, Time now);
-    void handle(LinkNumber link, const messages::DemandTold& demand, Time now);
+    void handle(LinkNumber link, const leases::LeaseAsk& ask, Time now);
+    void handle(LinkNumber link, const leases::LeaseReply& reply, Time now);
     void handle(LinkNumber, const messages::ConfigurationTold&, Time) {}   // for proxies only
     void handle(LinkNumber, const messages::FleetTold&, Time) {}
 
@@ -81,8 +85,7 @@
     void instance_request(const HttpRequest& request, Time now);
     void tell_all(const messages::Message& message);
     void tell_hosts(const std::vector<registry::Host>& hosts);
-    void tell_fleet(LinkNumber link, const std::vector<std::string>& names, const messages::Demand& demand,
-                    bool with_controls, Time now);
+    void tell_fleet(LinkNumber link, const std::vector<std::string>& names, bool with_controls, Time now);
     void tell_configuration();
     void begin_subscriptions(Time now);   // of proxies that wait for proof of contact
     void begin_subscription(LinkNumber link);
@@ -103,6 +106,7 @@
     consensus::Replica replica_;
     ConfigurationService configurations_;
     HostService hosts_;
+    LendingService lending_;
     ProxyDirectory proxies_;
     std::map<Endpoint, messages::ControlNode> known_;   // control nodes, by peer endpoint; not this one
     std::map<LinkNumber, Link> links_;                  // of other control nodes
--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -10,12 +10,14 @@
 
 constexpr Span tick_every{0.2};
 constexpr size_t most_pools = 120, most_requests = 8192;
-constexpr uint64_t tick_cookie = 127ULL << 53;   // a pool's number that no pool has
+// Pools' numbers that no pool has.
+constexpr uint64_t tick_cookie = 127ULL << 53, leases_cookie = 126ULL << 53;
 constexpr int exit_fault = 2;
 constexpr Span unasked_after{2.3};   // the platform has seen two refusals of /ready by then
 constexpr Span on_its_way{0.3};      // what clients sent before they saw their connection end is taken until then
 constexpr Span kept_back{0.6};       // before the end of the grace: the last answers are written
 constexpr Span refused_again{0.2};
+constexpr double rounding = 1e-9;
 constexpr double answer_margin = 0.01;   // of the time left, so that an answer still reaches the client
 
 struct Signals : memory::Connection {
@@ -32,6 +34,14 @@
     return false;
 }
 
+// What a request costs of its tenant's limit, in the limit's unit.
+double cost_of(const Request& request) {
+    const auto& tenant = *request.tenant;
+    const double told = request.prompt.tokens_in + request.prompt.tokens_out;
+    if (!tenant.counts_tokens) return 1;
+    return told > 0 ? told : tenant.uncached_tokens;
+}
+
 std::string_view presented_key(const std::vector<Field>& fields) {
     auto value = field_value(fields, "Authorization");
     constexpr std::string_view scheme = "Token ";
@@ -46,7 +56,7 @@
     : context_(std::move(settings), home, seed),
       reread_(std::move(reread)),
       table_({}),
-      quotas_({context_.settings.quota_slack, context_.settings.quota_over, context_.settings.quota_window}),
+      leases_({context_.settings.node_name, seed}, {}),
       quota_report_(context_.metrics, [](const std::string& line) { log_info() << line; }),
       front_(context_, {[this](Client& client, RequestReader& reader) { arrived(client, reader); },
                         [this](Request& request) { client_left(request); },
@@ -81,12 +91,20 @@
       subscription_(context_, {[this](const messages::ConfigurationTold& told) { configured(told); },
                                [this](const messages::HostsTold& told) { hosts_told(told); },
                                [this](const messages::FleetTold& told) { fleet_told(told); },
-                               [this] { return context_.table ? context_.table->configuration().version : 0; },
+                               [this](const leases::LeaseReply& reply) {
+                                   leases_.apply(reply, context_.home.now());
+                                   lease_decisions();
+                               },
+                               [this](bool is_up) {
+                                   leases_.connected(is_up);
+                                   ask_for_leases();
+                               },
                                [this] {
-                                   return quotas_.own(context_.now());
+                                   return context_.table ? context_.table->configuration().version : 0;
                                }}),
       metrics_listener_(context_, [this] { return figures(); }),
-      held_bytes_cover_bodies_(context_.invariants.named("held_bytes_cover_bodies")) {}
+      held_bytes_cover_bodies_(context_.invariants.named("held_bytes_cover_bodies")),
+      used_units_were_lent_(context_.invariants.named("used_units_were_lent")) {}
 
 int Proxy::run() {
     if (!start()) return exit_fault;
@@ -153,7 +171,8 @@
     request.arrived = context_.now();
     request.prompt = routing::read_prompt(field_value(reader.fields, "X-Token-Count"),
                                           field_value(reader.fields, "X-Prompt-Prefix"));
-    if (!within_quota(client, request)) return;
+    const auto decision = limit(request);
+    if (decision.verdict == leases::Verdict::refused) return turn_away(client, request, decision);
     const auto told = wire::decimal(field_value(reader.fields, "X-Deadline-Ms"));
     Span patience = request.route->timeout;
     if (told && *told > 0) patience = std::min(patience, Span{*told / 1e3} * (1 - answer_margin));
@@ -170,30 +189,68 @@
     held_bytes_ += request.body.size();
     request.client = &client;
     client.request = &request;
+    requests_[request.id] = std::move(owned);
+    if (decision.verdict == leases::Verdict::granted) return admit(request);
+    wait_for_leases();
+}
+
+// Units are used at the moment at which the request is let through: the client has sent it, and no host has it yet.
+leases::Decision Proxy::limit(const Request& request) {
+    if (!request.tenant || request.tenant->rate_per_second <= 0) return {};
+    const auto& tenant = *request.tenant;
+    const auto decision = leases_.request(tenant.name, cost_of(request), request.id, context_.home.now());
+    if (decision.verdict == leases::Verdict::granted) quota_report_.note_granted(tenant.name, cost_of(request));
+    return decision;
+}
+
+void Proxy::admit(Request& request) {
+    used_units_were_lent_.check(leases_.totals().used <= leases_.totals().got * (1 + rounding), [&] {
+        return std::to_string(leases_.totals().used) + " units used of " + std::to_string(leases_.totals().got);
+    });
     auto& serving = pool(routing::pick_backend(*request.route, context_.chance.share()));
     request.service = pool_numbers_[serving.name()];
-    requests_[request.id] = std::move(owned);
+    request.admitted = true;
     serving.take(request);
 }
 
-bool Proxy::within_quota(Client& client, const Request& request) {
-    if (!request.tenant) return true;
-    const auto& tenant = *request.tenant;
-    const double told = request.prompt.tokens_in + request.prompt.tokens_out;
-    const double cost = !tenant.counts_tokens ? 1 : told > 0 ? told : tenant.uncached_tokens;
-    const auto grant = quotas_.take(tenant.name, tenant.rate_per_second, tenant.burst, cost, context_.now());
-    if (grant.granted) {
-        quota_report_.note_granted(tenant.name, cost);
-        return true;
+void Proxy::turn_away(Client& client, const Request& request, const leases::Decision& decision) {
+    quota_report_.note_refused(request.tenant->name, cost_of(request), decision.cause, leases_, context_.now());
+    front_.refuse(client, 429, decision.retry_after);
+}
+
+void Proxy::wait_for_leases() {
+    ask_for_leases();
+    if (!leases_.has_waiting() || leases_wake_ > context_.now()) return;
+    leases_wake_ = leases_.waits_until();
+    context_.loop.wake(leases_wake_, leases_cookie);
+}
+
+void Proxy::ask_for_leases() {
+    if (const auto ask = leases_.ask(context_.home.now())) subscription_.ask(*ask);
+}
+
+void Proxy::lease_decisions() {
+    for (const auto& decided : leases_.take_decided()) {
+        auto* request = find(decided.ticket);
+        if (!request) continue;
+        if (decided.decision.verdict == leases::Verdict::granted) {
+            quota_report_.note_granted(request->tenant->name, cost_of(*request));
+            admit(*request);
+            continue;
+        }
+        turn_away(*std::exchange(request->client, nullptr), *request, decided.decision);
+        forget_if_over(*request);
     }
-    quota_report_.note_refused(tenant.name, cost, grant.cause, context_.now());
-    front_.refuse(client, 429, std::clamp(grant.retry_after, Span{0.05}, Span{5}));
-    return false;
+    if (leases_.has_waiting()) wait_for_leases();
 }
 
 void Proxy::client_left(Request& request) {
     request.client = nullptr;
     const auto id = request.id;
+    if (!request.admitted) {
+        leases_.withdraw(id);
+        return forget_if_over(request);
+    }
     pools_[request.service]->balancer().client_left(context_.now(), id);
     if (auto* held = find(id)) hosts_.abandon(*held);
     if (auto* held = find(id)) forget_if_over(*held);
@@ -318,7 +375,6 @@
 
 void Proxy::fleet_told(const messages::FleetTold& told) {
     context_.proxies = told.proxies;
-    quotas_.fleet(told.demand, told.proxies, context_.now());
     quota_report_.fleet_told(told, context_.now());
     for (auto& serving : pools_)
         serving->balancer().placed(static_cast<int>(told.place), static_cast<int>(told.proxies));
@@ -327,7 +383,7 @@
 // The process.
 
 std::string Proxy::figures() {
-    quota_report_.refresh(context_.now());
+    quota_report_.refresh(leases_, context_.now());
     return context_.metrics.render();
 }
 
@@ -338,12 +394,17 @@
 
 void Proxy::woke(uint64_t cookie) {
     if (cookie == tick_cookie) return tick();
+    if (cookie == leases_cookie) {
+        leases_.tick(context_.home.now());
+        return lease_decisions();
+    }
     const size_t number = ServicePool::pool_of(cookie);
     if (number < pools_.size()) pools_[number]->woke(cookie);
 }
 
 void Proxy::tick() {
     subscription_.tick();
+    ask_for_leases();
     context_.loop.wake(context_.now() + (ready() ? tick_every : tick_every * 0.25), tick_cookie);
     hosts_.forget_gone();
 }
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "leases/holder.hpp"
 #include "registry/host_table.hpp"
 #include "roles/proxy/context.hpp"
 #include "roles/proxy/front.hpp"
@@ -14,7 +15,6 @@
 #include "roles/proxy/quota_report.hpp"
 #include "roles/proxy/service_pool.hpp"
 #include "roles/proxy/subscription.hpp"
-#include "routing/quota.hpp"
 
 namespace myrtleroute::proxy {
 
@@ -34,7 +34,12 @@
     // Clients.
     void arrived(Client& client, RequestReader& reader);
     int entitle(Request& request, const RequestReader& reader) const;   // 0, or the status of a refusal
-    bool within_quota(Client& client, const Request& request);
+    leases::Decision limit(const Request& request);                     // by its tenant's limit
+    void admit(Request& request);                                       // to the pool of its service
+    void turn_away(Client& client, const Request& request, const leases::Decision& decision);
+    void wait_for_leases();
+    void ask_for_leases();
+    void lease_decisions();
     void client_left(Request& request);
     void refuse(CallId call, Span retry_after);
     void fail(CallId call);
@@ -70,7 +75,8 @@
     registry::HostTable table_;
     std::vector<std::unique_ptr<ServicePool>> pools_;
     std::map<std::string, size_t> pool_numbers_;   // by service
-    routing::Quotas quotas_;
+    leases::Holder leases_;
+    Time leases_wake_ = long_ago;   // a wake for requests that wait for units is set for this time
     QuotaReport quota_report_;
     Front front_;
     Hosts hosts_;
@@ -79,7 +85,7 @@
     std::unordered_map<CallId, std::unique_ptr<Request>> requests_;
     CallId next_call_ = 1;
     size_t held_bytes_ = 0;   // bodies of requests
-    Invariant& held_bytes_cover_bodies_;
+    Invariant &held_bytes_cover_bodies_, &used_units_were_lent_;
     memory::Connection* signals_ = nullptr;
     bool hosts_known_ = false;
     enum class Phase { serving, leaving, closing, over } phase_ = Phase::serving;
--- a/src/roles/proxy/quota_report.cpp
+++ b/src/roles/proxy/quota_report.cpp
@@ -9,15 +9,18 @@
 namespace myrtleroute::proxy {
 namespace {
 
-using routing::RefusalCause;
+using leases::RefusalCause;
 
 constexpr Span line_every{1};   // for each cause
 
 constexpr const char* granted_units = "myrtleroute_quota_granted_units_total";
 constexpr const char* refused_units = "myrtleroute_quota_refused_units_total";
 constexpr const char* refused_requests = "myrtleroute_quota_refused_requests_total";
-constexpr const char* fleet_asked = "myrtleroute_quota_fleet_asked_units_per_second";
-constexpr const char* fleet_granted = "myrtleroute_quota_fleet_granted_units_per_second";
+constexpr const char* held_units = "myrtleroute_quota_held_units";
+constexpr const char* overload_ratio = "myrtleroute_quota_overload_ratio";
+
+// Seconds since then, infinite where it never was.
+double age(Time then, Time now) { return then <= long_ago ? std::numeric_limits<double>::infinity() : (now - then).s; }
 
 metrics::Labels labels_of(const std::string& tenant) { return {{"tenant", tenant}}; }
 
@@ -34,7 +37,9 @@
       current_(registry.gauge("myrtleroute_fleet_current",
                               "1: the control node that told last was in touch with a majority; else 0.")),
       told_age_(registry.gauge("myrtleroute_fleet_told_age_seconds",
-                               "Age of the newest word of the fleet; infinite before the first.")) {
+                               "Age of the newest word of the fleet; infinite before the first.")),
+      reply_age_(registry.gauge("myrtleroute_quota_reply_age_seconds",
+                                "Age of the allocator's last reply; infinite before the first.")) {
     logged_.fill(long_ago);
 }
 
@@ -55,17 +60,6 @@
     told_at_ = now;
     proxies_.set(static_cast<double>(told.proxies));
     current_.set(told.current ? 1 : 0);
-    for (auto& [tenant, figures] : figures_) {
-        if (told.demand.count(tenant)) continue;
-        figures.fleet_asked.set(0);
-        figures.fleet_granted.set(0);
-    }
-    for (const auto& [tenant, rates] : told.demand) {
-        auto* figures = figures_of(tenant);
-        if (!figures) continue;
-        figures->fleet_asked.set(rates.asked);
-        figures->fleet_granted.set(rates.granted);
-    }
 }
 
 void QuotaReport::note_granted(std::string_view tenant, double units) {
@@ -75,7 +69,8 @@
     figures->granted_since += units;
 }
 
-void QuotaReport::note_refused(std::string_view tenant, double units, RefusalCause cause, Time now) {
+void QuotaReport::note_refused(std::string_view tenant, double units, RefusalCause cause, const leases::Holder& leases,
+                               Time now) {
     auto* figures = figures_of(tenant);
     if (!figures) return;
     figures->refused_units.add(units);
@@ -84,10 +79,20 @@
     auto& logged = logged_[static_cast<size_t>(cause)];
     if (now - logged < line_every) return;
     logged = now;
-    log_refusal(tenant, *figures, cause, now);
+    log_refusal(tenant, *figures, cause, leases, now);
+}
+
+void QuotaReport::refresh(const leases::Holder& leases, Time now) {
+    told_age_.set(age(told_at_, now));
+    reply_age_.set(age(leases.replied(), now));
+    for (auto& [tenant, figures] : figures_) show(figures, tenant, leases);
 }
 
-void QuotaReport::refresh(Time now) { told_age_.set(age(now)); }
+void QuotaReport::show(Figures& figures, const std::string& tenant, const leases::Holder& leases) {
+    const auto standing = leases.standing(tenant).value_or(leases::Holder::Standing{});
+    figures.held.set(standing.held);
+    figures.overload.set(standing.overload);
+}
 
 QuotaReport::Figures QuotaReport::make_figures(const std::string& tenant) {
     const auto labels = labels_of(tenant);
@@ -97,9 +102,10 @@
     };
     return {registry_.counter(granted_units, "Units of the quota granted by this proxy.", labels),
             registry_.counter(refused_units, "Units of the quota refused by this proxy.", labels),
-            {refused_for(RefusalCause::fleet_over_limit), refused_for(RefusalCause::own_part_used)},
-            registry_.gauge(fleet_asked, "Units a second asked of all proxies, as last told.", labels),
-            registry_.gauge(fleet_granted, "Units a second granted by all proxies, as last told.", labels)};
+            {refused_for(RefusalCause::over_limit), refused_for(RefusalCause::not_lent),
+             refused_for(RefusalCause::out_of_touch)},
+            registry_.gauge(held_units, "Units lent to this proxy and not used yet.", labels),
+            registry_.gauge(overload_ratio, "What all proxies are asked for, as a multiple of the limit.", labels)};
 }
 
 QuotaReport::Figures* QuotaReport::figures_of(std::string_view tenant) {
@@ -111,24 +117,22 @@
 }
 
 void QuotaReport::forget(const std::string& tenant) {
-    for (const char* name : {granted_units, refused_units, fleet_asked, fleet_granted})
+    for (const char* name : {granted_units, refused_units, held_units, overload_ratio})
         registry_.remove(name, labels_of(tenant));
-    for (const auto cause : routing::refusal_causes) registry_.remove(refused_requests, labels_of(tenant, cause));
+    for (const auto cause : leases::refusal_causes) registry_.remove(refused_requests, labels_of(tenant, cause));
 }
 
-void QuotaReport::log_refusal(std::string_view tenant, Figures& figures, RefusalCause cause, Time now) {
+void QuotaReport::log_refusal(std::string_view tenant, Figures& figures, RefusalCause cause,
+                              const leases::Holder& leases, Time now) {
+    show(figures, std::string(tenant), leases);
     std::ostringstream line;
     line.precision(9);
     line << "quota of tenant \"" << metrics::escape_label_value(tenant) << "\": refused, " << to_string(cause)
          << "; since the last such line " << std::exchange(figures.granted_since, 0) << " units granted, "
-         << std::exchange(figures.refused_since, 0) << " refused; told: asked " << figures.fleet_asked.value()
-         << "/s, granted " << figures.fleet_granted.value() << "/s, proxies " << proxies_.value() << ", current "
-         << current_.value() << ", age " << age(now) << " s";
+         << std::exchange(figures.refused_since, 0) << " refused; held " << figures.held.value() << ", overload "
+         << figures.overload.value() << ", last reply " << age(leases.replied(), now) << " s ago; proxies "
+         << proxies_.value() << ", current " << current_.value() << ", told " << age(told_at_, now) << " s ago";
     log_(line.str());
 }
 
-double QuotaReport::age(Time now) const {
-    return told_at_ <= long_ago ? std::numeric_limits<double>::infinity() : (now - told_at_).s;
-}
-
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/quota_report.hpp
+++ b/src/roles/proxy/quota_report.hpp
@@ -15,8 +15,8 @@
 
 #include "base/metrics.hpp"
 #include "configuration/configuration.hpp"
+#include "leases/holder.hpp"
 #include "messages/messages.hpp"
-#include "routing/refusal_cause.hpp"
 #include "time.hpp"
 
 namespace myrtleroute::proxy {
@@ -36,31 +36,35 @@
 
     // A request of the tenant that cost so many units. Tenants that the configuration does not name are passed over.
     void note_granted(std::string_view tenant, double units);
-    void note_refused(std::string_view tenant, double units, routing::RefusalCause cause, Time now);
+    // `leases`: by which it was refused.
+    void note_refused(std::string_view tenant, double units, leases::RefusalCause cause, const leases::Holder& leases,
+                      Time now);
 
-    // Brings the figures up to date that change by themselves: the age of what was told. Before they are rendered.
-    void refresh(Time now);
+    // Brings the figures up to date that change by themselves. Before they are rendered.
+    void refresh(const leases::Holder& leases, Time now);
 
 private:
     struct Figures {
         metrics::Counter granted_units, refused_units;
-        std::array<metrics::Counter, routing::refusal_causes.size()> refused_requests;   // by cause
-        metrics::Gauge fleet_asked, fleet_granted;                                       // units a second
+        std::array<metrics::Counter, leases::refusal_causes.size()> refused_requests;   // by cause
+        metrics::Gauge held;                                                            // units lent and not used
+        metrics::Gauge overload;                       // what all proxies are asked for, as a multiple of the limit
         double granted_since = 0, refused_since = 0;   // units, since the tenant's last line in the log
     };
     Figures make_figures(const std::string& tenant);
     Figures* figures_of(std::string_view tenant);   // null where the configuration does not name it
     void forget(const std::string& tenant);
-    void log_refusal(std::string_view tenant, Figures& figures, routing::RefusalCause cause, Time now);
-    double age(Time now) const;   // seconds, infinite before the first word
+    void log_refusal(std::string_view tenant, Figures& figures, leases::RefusalCause cause,
+                     const leases::Holder& leases, Time now);
+    static void show(Figures& figures, const std::string& tenant, const leases::Holder& leases);
 
     metrics::Registry& registry_;
     Log log_;
     std::set<std::string, std::less<>> tenants_;
     std::map<std::string, Figures, std::less<>> figures_;
-    metrics::Gauge proxies_, current_, told_age_;
+    metrics::Gauge proxies_, current_, told_age_, reply_age_;
     Time told_at_ = long_ago;
-    std::array<Time, routing::refusal_causes.size()> logged_;   // when the last line of each cause was written
+    std::array<Time, leases::refusal_causes.size()> logged_;   // when the last line of each cause was written
 };
 
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/request.hpp
+++ b/src/roles/proxy/request.hpp
@@ -42,7 +42,8 @@
     std::shared_ptr<const routing::RouteTable> table;   // keeps `route` and `tenant` valid
     const configuration::Route* route = nullptr;
     const configuration::Tenant* tenant = nullptr;
-    size_t service = 0;   // number of the pool that serves it
+    size_t service = 0;   // number of the pool that serves it, once the request is within its tenant's limit
+    bool admitted = false;
     routing::Prompt prompt;
     Time arrived, deadline;   // the latter: the client has given up, or the route's time-out is over
 
--- a/src/roles/proxy/subscriber.cpp
+++ b/src/roles/proxy/subscriber.cpp
@@ -3,7 +3,6 @@
 namespace myrtleroute::proxy {
 namespace {
 
-constexpr Span demand_every{0.25};
 constexpr Span silent_after{1.2};   // control nodes speak several times a second
 constexpr Span open_within{0.6};
 constexpr Span out_of_touch_after{0.5};   // a node without a majority is left then, if there is another one to try
@@ -21,8 +20,6 @@
     link_ = Link::open;
     heard_ = now;
     outputs_.push_back(SendOnLink{messages::Subscribe{options_.node, version}});
-    outputs_.push_back(DemandDue{});   // at once: until then the sums lack it
-    demand_at_ = now + demand_every;
 }
 
 void Subscriber::failed(Time now) {
@@ -68,10 +65,6 @@
         heard_ = now;
         outputs_.push_back(OpenLink{at_});
     }
-    if (link_ == Link::open && now >= demand_at_) {
-        demand_at_ = now + demand_every;
-        outputs_.push_back(DemandDue{});
-    }
 }
 
 // Own machine, own zone, others; so that little crosses zones.
--- a/src/roles/proxy/subscriber.hpp
+++ b/src/roles/proxy/subscriber.hpp
@@ -24,13 +24,11 @@
 struct CloseLink {
     memory::Why why = memory::Why::told_to_close;
 };
-// The control node is to be told what has been asked of this proxy.
-struct DemandDue {};
 // What the control node has said.
 struct Told {
     messages::Message message;
 };
-using SubscriberOutput = std::variant<OpenLink, SendOnLink, CloseLink, DemandDue, Told>;
+using SubscriberOutput = std::variant<OpenLink, SendOnLink, CloseLink, Told>;
 
 struct SubscriberOptions {
     std::string node;      // name of this proxy
@@ -51,6 +49,7 @@
     void tick(Time now);   // several times a second
 
     std::vector<SubscriberOutput> take_outputs() { return std::exchange(outputs_, {}); }
+    bool is_open() const { return link_ == Link::open; }
     const Endpoint& at() const { return at_; }   // the control node that is or was connected to last
 
 private:
@@ -69,7 +68,7 @@
     std::map<Endpoint, Node> nodes_;   // by peer endpoint
     Link link_ = Link::none;
     Endpoint at_;
-    Time heard_ = long_ago, out_of_touch_since_ = long_ago, demand_at_ = long_ago;
+    Time heard_ = long_ago, out_of_touch_since_ = long_ago;
 };
 
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/subscription.cpp
+++ b/src/roles/proxy/subscription.cpp
@@ -61,10 +61,8 @@
                 send(message->message);
             else if (const auto* close = std::get_if<CloseLink>(&output))
                 end(close->why);
-            else if (const auto* told = std::get_if<Told>(&output))
-                take(told->message);
             else
-                send(messages::DemandTold{events_.demand()});
+                take(std::get<Told>(output).message);
         }
 }
 
@@ -80,10 +78,15 @@
     if (at_once) up(*link_);
 }
 
+void Subscription::ask(const leases::LeaseAsk& ask) {
+    if (subscriber_.is_open()) send(ask);
+}
+
 void Subscription::up(Connection&) {
     log_info() << "subscribed to the control node at " << subscriber_.at().text();
     subscriber_.opened(events_.version(), context_.now());
     carry_out();
+    events_.connected(true);
 }
 
 void Subscription::send(const messages::Message& message) {
@@ -110,6 +113,8 @@
         events_.hosts(*hosts);
     else if (const auto* fleet = std::get_if<messages::FleetTold>(&message))
         events_.fleet(*fleet);
+    else if (const auto* reply = std::get_if<leases::LeaseReply>(&message))
+        events_.leases(*reply);
 }
 
 void Subscription::broke(Connection& connection, int) {
@@ -120,6 +125,7 @@
 
 void Subscription::end(Why why) {
     if (!link_) return;
+    events_.connected(false);
     log_info() << "left the control node at " << subscriber_.at().text() << ": " << memory::code(why);
     context_.loop.end(*std::exchange(link_, nullptr), why);
 }
--- a/src/roles/proxy/subscription.hpp
+++ b/src/roles/proxy/subscription.hpp
@@ -14,13 +14,15 @@
         std::function<void(const messages::ConfigurationTold&)> configuration;
         std::function<void(const messages::HostsTold&)> hosts;
         std::function<void(const messages::FleetTold&)> fleet;
-        std::function<uint64_t()> version;   // of the configuration that this proxy has
-        std::function<messages::Demand()> demand;
+        std::function<void(const leases::LeaseReply&)> leases;
+        std::function<void(bool)> connected;   // whether there is a connection to a control node now
+        std::function<uint64_t()> version;     // of the configuration that this proxy has
     };
     Subscription(Context& context, Events events);
     void settings_changed();   // the seeds may be others
     void tick();               // several times a second
     void stop();
+    void ask(const leases::LeaseAsk& ask);   // at once, where there is a connection
 
     void up(memory::Connection& connection) override;
     void came(memory::Connection& connection) override;
--- /dev/null
+++ b/tests/system/leases_test.cpp
@@ -0,0 +1,539 @@
+// Limits lent to proxies: single steps of the holder and of the allocator, and fleets of them over a network that loses,
+// delays and doubles messages, beside a plain sum of all that was used within a window.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "leases/allocator.hpp"
+#include "leases/holder.hpp"
+#include "random.hpp"
+
+using namespace myrtleroute;
+using namespace myrtleroute::leases;
+
+namespace {
+
+constexpr const char* tenant = "tenant";
+
+// What is allowed in a window.
+double allowance(const Limit& limit, const LimitRule& rule) {
+    return (limit.rate * rule.window.s + limit.burst) * (1 + rule.over) + rule.slack;
+}
+
+// Proxies before one tenant whose demand is scripted, and one allocator at a time.
+struct LeaseFleet {
+    LimitRule rule{140000, 0.1, Span{8}};
+    Limit limit{60000, 90000};
+    LeaseTerms terms;
+    Span least_delay{0.002}, most_delay{0.01};   // of a message
+    double loss = 0, doubled = 0;                // share of the messages
+    Pcg chance{5};
+    Time now{100};
+    double mean_cost = 9000;
+
+    struct Proxy {
+        std::unique_ptr<Holder> holder;
+        Time down_until = long_ago, frozen_until = long_ago, cut_until = long_ago;
+        std::deque<double> held_back;                      // requests that came while it was frozen
+        std::deque<std::function<void()>> arrived;         // messages of that time
+        std::deque<std::pair<uint64_t, double>> waiting;   // costs of requests that wait, by ticket
+    };
+    std::vector<Proxy> proxies;
+    std::unique_ptr<Allocator> allocator = std::make_unique<Allocator>(rule, terms);
+    Time allocator_from = long_ago;   // it begins then
+    bool begun = false;
+    Allocator::Before before = Allocator::Before::one;
+    struct Delivery {
+        Time at;
+        std::function<void()> deliver;
+    };
+    std::vector<Delivery> under_way;
+    std::deque<std::pair<Time, double>> used;
+    double asked = 0, refused = 0, worst = 0;
+    size_t granted_requests = 0;
+    std::array<size_t, refusal_causes.size()> refused_requests{};   // by cause
+    uint64_t next_life = 1, next_ticket = 1;
+
+    explicit LeaseFleet(size_t size = 12) : proxies(size) {
+        for (auto& proxy : proxies) start(proxy);
+        allocator_from = now;
+    }
+    size_t number(const Proxy& proxy) const { return static_cast<size_t>(&proxy - proxies.data()); }
+    void start(Proxy& proxy) {
+        proxy.holder = std::make_unique<Holder>(HolderId{"edge-" + std::to_string(number(proxy)), next_life++}, terms);
+        proxy.holder->connected(true);
+        proxy.waiting.clear();
+        proxy.held_back.clear();
+        proxy.arrived.clear();
+    }
+    void kill(size_t at, Span down) {
+        start(proxies[at]);
+        proxies[at].down_until = now + down;
+    }
+    void kill_first(size_t count, Span down) {
+        for (size_t i = 0; i < count; ++i) kill(i, down);
+    }
+    // The allocator ends, and another one without memory begins once its authority has surely ended.
+    void change_allocator(Span after, Allocator::Before known) {
+        allocator = std::make_unique<Allocator>(rule, terms);
+        begun = false;
+        allocator_from = now + after;
+        before = known;
+    }
+    bool runs(const Proxy& proxy) const { return proxy.down_until <= now; }
+    bool reaches(const Proxy& proxy) const { return runs(proxy) && proxy.cut_until <= now; }
+
+    void send(std::function<void()> deliver) {
+        const int copies = chance.share() < doubled ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            if (chance.share() < loss) continue;
+            const Span delay = least_delay + (most_delay - least_delay) * chance.share();
+            under_way.push_back({now + delay, deliver});
+        }
+    }
+    void deliver_due() {
+        std::vector<Delivery> due;
+        std::erase_if(under_way, [&](auto& delivery) {
+            if (delivery.at > now) return false;
+            due.push_back(delivery);
+            return true;
+        });
+        for (const auto& delivery : due) delivery.deliver();
+    }
+    void act(Proxy& proxy) {
+        const auto ask = proxy.holder->ask(now);
+        if (!ask || proxy.cut_until > now) return;
+        send([this, ask = *ask, &proxy] {
+            if (!begun) return;
+            const auto reply = allocator->ask(ask, now);
+            check();
+            if (reply && proxy.cut_until <= now) send([this, reply = *reply, &proxy] { came(proxy, reply); });
+        });
+    }
+    void came(Proxy& proxy, const LeaseReply& reply) {
+        if (!runs(proxy)) return;
+        if (proxy.frozen_until > now) return proxy.arrived.push_back([this, &proxy, reply] { came(proxy, reply); });
+        proxy.holder->apply(reply, now);
+        decide(proxy);
+    }
+    void decide(Proxy& proxy) {
+        for (const auto& decided : proxy.holder->take_decided()) {
+            const auto at = std::find_if(proxy.waiting.begin(), proxy.waiting.end(),
+                                         [&](const auto& waiting) { return waiting.first == decided.ticket; });
+            REQUIRE(at != proxy.waiting.end());
+            ended(at->second, decided.decision);
+            proxy.waiting.erase(at);
+        }
+        CHECK(proxy.holder->totals().used <= proxy.holder->totals().got + 1);
+    }
+    void ended(double cost, const Decision& decision) {
+        if (decision.verdict != Verdict::granted) {
+            refused += cost;
+            ++refused_requests[static_cast<size_t>(decision.cause)];
+            return;
+        }
+        ++granted_requests;
+        used.emplace_back(now, cost);
+        while (used.front().first < now - rule.window) used.pop_front();
+        double sum = 0;
+        for (const auto& [when, units] : used) sum += units;
+        worst = std::max(worst, sum);
+    }
+    void request(double cost) {
+        asked += cost;
+        auto* proxy = &proxies[chance.next() % proxies.size()];
+        while (!runs(*proxy)) proxy = &proxies[chance.next() % proxies.size()];
+        if (proxy->frozen_until > now) return proxy->held_back.push_back(cost);
+        request_at(*proxy, cost);
+    }
+    void request_at(Proxy& proxy, double cost) {
+        const auto ticket = next_ticket++;
+        const auto decision = proxy.holder->request(tenant, cost, ticket, now);
+        if (decision.verdict != Verdict::waits) return ended(cost, decision);
+        proxy.waiting.emplace_back(ticket, cost);
+        act(proxy);
+    }
+    void thaw(Proxy& proxy) {
+        for (auto costs = std::exchange(proxy.held_back, {}); !costs.empty(); costs.pop_front())
+            request_at(proxy, costs.front());
+        for (auto held = std::exchange(proxy.arrived, {}); !held.empty(); held.pop_front()) held.front()();
+    }
+    void check() {
+        const auto violated = allocator->violated_invariant();
+        REQUIRE_MESSAGE(!violated, violated.value_or(""));
+    }
+
+    // `demand`: units a second of all proxies together, in requests of many sizes. `trouble`: called at each step.
+    void play(
+        Span length, double demand, const std::function<void()>& trouble = [] {}) {
+        constexpr Span step{0.01};
+        int steps = 0;
+        for (const Time end = now + length; now < end; now = now + step, ++steps) {
+            trouble();
+            if (!begun && now >= allocator_from) {
+                allocator->limits({{tenant, limit}}, now);
+                allocator->begin(now, before);
+                begun = true;
+            }
+            if (begun && steps % 10 == 0) allocator->tick(now), check();
+            deliver_due();
+            for (auto& proxy : proxies) {
+                if (!runs(proxy) || proxy.frozen_until > now) continue;
+                if (!proxy.held_back.empty() || !proxy.arrived.empty()) thaw(proxy);
+                proxy.holder->tick(now);
+                decide(proxy);
+                if (steps % 10 == 0 || proxy.holder->has_waiting()) act(proxy);
+            }
+            for (double due = demand * step.s / mean_cost; due > chance.share(); due -= 1)
+                request(mean_cost * (0.2 + 1.6 * chance.share()));
+        }
+    }
+    double allowed() const { return allowance(limit, rule); }
+    // What was refused since, as a share of what was asked, with the causes.
+    void forget() {
+        asked = refused = 0;
+        refused_requests = {};
+    }
+    std::string refusals() const {
+        std::string text = std::to_string(refused / asked) + " refused;";
+        for (const auto cause : refusal_causes)
+            text += " " + std::string(to_string(cause)) + " " +
+                    std::to_string(refused_requests[static_cast<size_t>(cause)]);
+        return text;
+    }
+};
+
+}   // namespace
+
+TEST_CASE("the parts of a budget are its depth, and with the fill they are what the rule allows") {
+    for (const Limit limit : {Limit{60000, 90000}, Limit{10, 0}, Limit{1, 100}, Limit{500000, 500000}})
+        for (const LimitRule rule :
+             {LimitRule{140000, 0.1, Span{8}}, LimitRule{0, 0, Span{1}}, LimitRule{5, 0, Span{60}}}) {
+            const auto budget = budget_of(limit, rule);
+            CHECK(budget.pool() + budget.debt() + budget.isolated() == doctest::Approx(budget.depth));
+            CHECK(budget.fill * rule.window.s + budget.depth == doctest::Approx(allowance(limit, rule)));
+            CHECK(budget.fill > 0);
+            CHECK(budget.fill <= limit.rate * 1.0000001);
+            CHECK(budget.lent_usually() < budget.lent());
+            CHECK(budget.lent() < budget.pool());
+        }
+}
+
+TEST_CASE("of demand of three quarters of the limit, in large requests, a fiftieth is refused at the most") {
+    LeaseFleet fleet;
+    fleet.play(Span{10}, fleet.limit.rate / 1.3);
+    fleet.forget();
+    fleet.play(Span{60}, fleet.limit.rate / 1.3);
+    MESSAGE("below the limit: " << fleet.refusals());
+    CHECK(fleet.refused < fleet.asked / 50);
+}
+
+TEST_CASE("a tenant that asks for six times its usual stays within its limit in every window") {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        LeaseFleet fleet;
+        fleet.chance = Pcg(seed);
+        fleet.play(Span{10}, fleet.limit.rate / 1.3);
+        fleet.play(Span{11}, 6 * fleet.limit.rate / 1.3);
+        fleet.play(Span{5}, fleet.limit.rate / 1.3);
+        fleet.play(Span{11}, 7.5 * fleet.limit.rate / 1.3);
+        CHECK(fleet.worst <= fleet.allowed());
+        CHECK(fleet.worst >= 0.8 * fleet.limit.rate * fleet.rule.window.s);   // and has the use of it
+    }
+}
+
+TEST_CASE("a tenant over its limit stays within it while many proxies are killed and come back") {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        LeaseFleet fleet(68);
+        fleet.limit = {870000, 1100000};
+        fleet.chance = Pcg(seed);
+        fleet.play(Span{10}, fleet.limit.rate / 1.3);
+        fleet.play(Span{5.5}, 6 * fleet.limit.rate / 1.3);
+        fleet.kill_first(28, Span{0.5});
+        fleet.play(Span{6}, 6 * fleet.limit.rate / 1.3);
+        fleet.kill_first(40, Span{0.5});
+        fleet.play(Span{6}, 6 * fleet.limit.rate / 1.3);
+        CHECK(fleet.worst <= fleet.allowed());
+    }
+}
+
+TEST_CASE("out of touch with the allocator the sum stays within the limit") {
+    LeaseFleet fleet;
+    fleet.play(Span{10}, fleet.limit.rate / 1.3);
+    for (auto& proxy : fleet.proxies) proxy.cut_until = fleet.now + Span{20};
+    fleet.play(Span{20}, 6 * fleet.limit.rate / 1.3);
+    CHECK(fleet.worst <= fleet.allowed());
+}
+
+TEST_CASE("out of touch, a half of the limit is still to be had for some seconds") {
+    LeaseFleet fleet;
+    fleet.mean_cost = 500;
+    fleet.play(Span{20}, fleet.limit.rate / 1.3);
+    for (auto& proxy : fleet.proxies) proxy.cut_until = fleet.now + Span{20};
+    fleet.play(Span{1}, fleet.limit.rate / 1.3);
+    fleet.forget();
+    fleet.play(Span{5}, fleet.limit.rate / 1.3);
+    MESSAGE("out of touch: " << fleet.refusals());
+    CHECK(fleet.refused < 0.4 * fleet.asked);
+    CHECK(fleet.worst <= fleet.allowed());
+}
+
+TEST_CASE("around a change of the allocator less is refused below the limit than is asked while there is none") {
+    LeaseFleet fleet;
+    fleet.mean_cost = 3000;
+    fleet.play(Span{20}, fleet.limit.rate / 1.3);
+    fleet.forget();
+    constexpr Span gap{1.5}, played{10};
+    fleet.change_allocator(gap, Allocator::Before::one);
+    fleet.play(played, fleet.limit.rate / 1.3);
+    MESSAGE("around a change of the allocator: " << fleet.refusals());
+    CHECK(fleet.refused < fleet.asked * (gap / played));   // much is granted of what had been lent before
+    CHECK(fleet.worst <= fleet.allowed());
+}
+
+TEST_CASE("where the limit binds, large requests are granted about as often as small ones") {
+    LeaseFleet fleet;
+    fleet.play(Span{10}, fleet.limit.rate / 1.3);
+    fleet.play(Span{5}, 4 * fleet.limit.rate);
+    size_t granted[2] = {}, asked[2] = {};
+    for (int round = 0; round < 400; ++round) {
+        const bool large = round % 2;
+        const auto before = fleet.granted_requests;
+        fleet.play(Span{0.02}, 4 * fleet.limit.rate);
+        const auto others = fleet.granted_requests - before;
+        fleet.request(large ? 30000 : 1000);
+        const auto at = fleet.granted_requests;
+        fleet.play(Span{0.12}, 0);   // until it is decided, if it waits
+        granted[large] += fleet.granted_requests > at || at > before + others;
+        ++asked[large];
+        fleet.play(Span{0.02}, 4 * fleet.limit.rate);
+    }
+    const double small = static_cast<double>(granted[0]) / static_cast<double>(asked[0]);
+    const double large = static_cast<double>(granted[1]) / static_cast<double>(asked[1]);
+    MESSAGE("granted of small ones " << small << ", of large ones " << large);
+    CHECK(large > 0.5 * small);
+}
+
+TEST_CASE(
+    "whatever is lost, late, doubled, frozen, killed, cut off or begins anew, no window holds more than the limit") {
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        LeaseFleet fleet(6);
+        fleet.chance = Pcg(seed);
+        fleet.limit = {30000.0 + 10000 * static_cast<double>(seed % 30), 30000.0 * static_cast<double>(seed % 7)};
+        fleet.rule.slack = seed % 3 ? 140000 : 20000;
+        fleet.allocator = std::make_unique<Allocator>(fleet.rule, fleet.terms);
+        fleet.mean_cost = fleet.limit.rate / 12;
+        fleet.loss = 0.1;
+        fleet.doubled = 0.1;
+        fleet.most_delay = Span{seed % 2 ? 0.1 : 1.0};
+        Time last_change = fleet.now;
+        const auto trouble = [&] {
+            auto& proxy = fleet.proxies[fleet.chance.next() % fleet.proxies.size()];
+            if (fleet.chance.share() < 0.003) fleet.kill(fleet.number(proxy), Span{0.5});
+            if (fleet.chance.share() < 0.003) proxy.frozen_until = fleet.now + Span{6 * fleet.chance.share()};
+            if (fleet.chance.share() < 0.003) proxy.cut_until = fleet.now + Span{8 * fleet.chance.share()};
+            if (fleet.chance.share() >= 0.001) return;
+            const bool settled = fleet.now - last_change > fleet.terms.lent + fleet.terms.authority;
+            last_change = fleet.now;
+            fleet.change_allocator(Span{2 * fleet.chance.share()},
+                                   settled ? Allocator::Before::one : Allocator::Before::several);
+        };
+        for (int phase = 0; phase < 4; ++phase) {
+            fleet.play(Span{8}, fleet.limit.rate / 1.3, trouble);
+            fleet.play(Span{8}, 8 * fleet.limit.rate, trouble);
+        }
+        CHECK(fleet.worst <= fleet.allowed());
+    }
+}
+
+namespace {
+
+// A holder and an allocator without a network between them.
+struct Pair {
+    LeaseTerms terms;
+    LimitRule rule{140000, 0.1, Span{8}};
+    Limit limit{60000, 90000};
+    Allocator allocator{rule, terms};
+    Holder holder{{"edge-1", 1}, terms};
+    Time now{100};
+
+    explicit Pair(LeaseTerms lease_terms = {}) : terms(lease_terms) {
+        allocator.limits({{tenant, limit}}, now);
+        allocator.begin(now, Allocator::Before::none);
+        holder.connected(true);
+        pass(Span{5});
+    }
+    void pass(Span span) {
+        for (const Time end = now + span; now < end; now = now + Span{0.1}) allocator.tick(now);
+    }
+    std::optional<LeaseReply> asked() {
+        const auto ask = holder.ask(now);
+        return ask ? allocator.ask(*ask, now) : std::nullopt;
+    }
+    // Asks as it does without any request that waits.
+    void top_up() {
+        pass(Span{0.3});
+        if (const auto reply = asked()) holder.apply(*reply, now);
+    }
+    // A request that waits for units, and is granted; then as much is held as is usual.
+    void use(double cost) {
+        CHECK(holder.request(tenant, cost, 1, now).verdict == Verdict::waits);
+        const auto reply = asked();
+        REQUIRE(reply);
+        holder.apply(*reply, now);
+        const auto decided = holder.take_decided();
+        REQUIRE(decided.size() == 1);
+        CHECK(decided[0].decision.verdict == Verdict::granted);
+        top_up();
+    }
+};
+
+}   // namespace
+
+TEST_CASE("a fresh process has nothing until it is lent something, and then enough for the request that waits") {
+    Pair pair;
+    CHECK_FALSE(pair.holder.standing(tenant));
+    pair.use(20000);
+    CHECK(pair.allocator.amounts(tenant)->lent == doctest::Approx(pair.holder.standing(tenant)->held));
+    CHECK(pair.allocator.amounts(tenant)->lent > 0);
+}
+
+TEST_CASE("units that were lent are not used after their end, though the process did not run meanwhile") {
+    LeaseTerms without_reserve;
+    without_reserve.pooled = without_reserve.reserve;
+    Pair pair(without_reserve);
+    pair.use(20000);
+    const double held = pair.holder.standing(tenant)->held;
+    REQUIRE(held > 100);
+    pair.now = pair.now + pair.terms.lent;
+    CHECK(pair.holder.request(tenant, 100, 2, pair.now).verdict == Verdict::waits);
+}
+
+TEST_CASE("a reply that comes after the end of what it lends lends nothing") {
+    Pair pair;
+    pair.holder.request(tenant, 20000, 1, pair.now);
+    const auto reply = pair.asked();
+    REQUIRE(reply);
+    pair.holder.apply(*reply, pair.now + pair.terms.lent);
+    CHECK(pair.holder.standing(tenant)->held == 0);
+}
+
+TEST_CASE("a reply is taken once, and one to an earlier ask not at all") {
+    Pair pair;
+    pair.holder.request(tenant, 20000, 1, pair.now);
+    const auto first = pair.asked();
+    REQUIRE(first);
+    pair.pass(Span{0.5});   // no reply has come: it asks again
+    const auto second = pair.asked();
+    REQUIRE(second);
+    pair.holder.apply(*first, pair.now);
+    CHECK(pair.holder.standing(tenant)->held == 0);
+    pair.holder.apply(*second, pair.now);
+    const double held = pair.holder.standing(tenant)->held;
+    pair.holder.apply(*second, pair.now);
+    CHECK(pair.holder.standing(tenant)->held == held);
+}
+
+TEST_CASE("an ask that comes twice, or after a later one, is not answered") {
+    Pair pair;
+    pair.holder.request(tenant, 20000, 1, pair.now);
+    const auto first = pair.holder.ask(pair.now);
+    pair.pass(Span{0.5});
+    const auto second = pair.holder.ask(pair.now);
+    REQUIRE(second);
+    CHECK(pair.allocator.ask(*second, pair.now));
+    const double lent = pair.allocator.amounts(tenant)->lent;
+    CHECK_FALSE(pair.allocator.ask(*second, pair.now));
+    CHECK_FALSE(pair.allocator.ask(*first, pair.now));
+    CHECK(pair.allocator.amounts(tenant)->lent == lent);
+}
+
+TEST_CASE("what a holder was lent stays counted until it has ended, where nothing is heard of it") {
+    Pair pair;
+    pair.use(20000);
+    const double lent = pair.allocator.amounts(tenant)->lent;
+    REQUIRE(lent > 0);
+    pair.pass(pair.terms.lent - Span{0.2});
+    CHECK(pair.allocator.amounts(tenant)->lent == lent);
+    pair.pass(Span{0.4});
+    CHECK(pair.allocator.amounts(tenant)->lent == 0);
+}
+
+TEST_CASE("a fresh life of a node ends what the earlier one had") {
+    Pair pair;
+    pair.use(20000);
+    const double lent = pair.allocator.amounts(tenant)->lent;
+    LeaseAsk fresh{{"edge-1", 2}, 1, 0, {{tenant, {}}}};
+    CHECK(pair.allocator.ask(fresh, pair.now));
+    CHECK(pair.allocator.amounts(tenant)->lent < lent);
+    LeaseAsk other{{"edge-2", 3}, 1, 0, {{tenant, {}}}};
+    CHECK(pair.allocator.ask(other, pair.now));
+    CHECK(pair.allocator.holders() == 2);
+}
+
+TEST_CASE("what was granted by a reply that was not taken goes back to the pool") {
+    Pair pair;
+    pair.use(20000);
+    pair.holder.request(tenant, 60000, 2, pair.now);
+    const auto lost = pair.asked();
+    REQUIRE(lost);
+    const auto before = *pair.allocator.amounts(tenant);
+    pair.now = pair.now + Span{0.41};
+    REQUIRE(pair.asked());
+    const auto after = *pair.allocator.amounts(tenant);
+    CHECK(after.level + after.lent >= before.level + before.lent - 1);
+}
+
+TEST_CASE("a lower limit lowers what is lent, and nothing more is lent until it fits") {
+    Pair pair;
+    pair.use(20000);
+    pair.pass(Span{1});
+    pair.allocator.limits({{tenant, {6000, 0}}}, pair.now);
+    const auto budget = budget_of({6000, 0}, pair.rule);
+    CHECK(pair.allocator.amounts(tenant)->level <= budget.pool());
+    for (int i = 0; i < 20; ++i) {
+        pair.pass(Span{0.3});
+        pair.holder.request(tenant, 1, 3, pair.now);
+        if (const auto reply = pair.asked()) pair.holder.apply(*reply, pair.now);
+    }
+    CHECK(pair.holder.standing(tenant)->held <= budget.lent());
+    CHECK_FALSE(pair.allocator.violated_invariant());
+}
+
+TEST_CASE("a refusal is at once where no allocator can be asked") {
+    Holder holder{{"edge-1", 1}, {}};
+    const auto decision = holder.request(tenant, 10, 1, Time{5});
+    CHECK(decision.verdict == Verdict::refused);
+    CHECK(decision.cause == RefusalCause::out_of_touch);
+    CHECK(decision.retry_after > Span{});
+}
+
+TEST_CASE("a request waits for a tenth of a second at the most") {
+    Holder holder{{"edge-1", 1}, {}};
+    holder.connected(true);
+    CHECK(holder.request(tenant, 10, 1, Time{5}).verdict == Verdict::waits);
+    CHECK(holder.waits_until() <= Time{5.1});
+    CHECK(holder.ask(Time{5}));
+    holder.tick(Time{5.11});
+    const auto decided = holder.take_decided();
+    REQUIRE(decided.size() == 1);
+    CHECK(decided[0].decision.verdict == Verdict::refused);
+    CHECK_FALSE(holder.has_waiting());
+}
+
+TEST_CASE("a request whose client has left waits no longer") {
+    Holder holder{{"edge-1", 1}, {}};
+    holder.connected(true);
+    holder.request(tenant, 10, 1, Time{5});
+    holder.withdraw(1);
+    CHECK_FALSE(holder.has_waiting());
+    holder.tick(Time{6});
+    CHECK(holder.take_decided().empty());
+}
