The retry budget rests on the most proxies told lately, and a fresh process begins with a small part of it

During a cut each side is told of its own proxies only, and after a start of everything proxies are told of each other one by one, so the parts added up to more than the budget. Change: FleetSize, the most that was told in the last thirty seconds; a process that has just started, and may have used its part in the life before, begins with what is kept back, and with one repeat while others may not have been told of. Small amounts of units go over the wire in thousandths: limits that are counted in requests lost all below one.

--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -103,16 +103,19 @@
 namespace leases {
 namespace {
 
-// Units go over the wire in whole numbers: what is lent is rounded down, what is held is rounded up.
-double rounded_down(double units) { return std::floor(units); }
-double rounded_up(double units) { return std::ceil(units); }
+// Large amounts go over the wire in whole units, small ones in thousandths. What is lent is rounded down, what is held is
+// rounded up; no more is made of an amount on its way.
+constexpr double large_amount = 1000, thousandths = 1000, rest = 1e-6;
+double parts_of(double units) { return units >= large_amount ? 1 : thousandths; }
+double rounded_down(double units) { return std::floor(units * parts_of(units) + rest) / parts_of(units); }
+double rounded_up(double units) { return std::ceil(units * parts_of(units) - rest) / parts_of(units); }
 
 }   // namespace
 
 void to_json(Json& j, const HolderId& h) { j = Json::array({h.node, h.life}); }
 void from_json(const Json& j, HolderId& h) { j.at(0).get_to(h.node), j.at(1).get_to(h.life); }
 void to_json(Json& j, const HeldLease& l) {
-    j = Json::array({std::round(l.asked), rounded_up(l.held), rounded_down(l.returned), rounded_up(l.needed),
+    j = Json::array({rounded_up(l.asked), rounded_up(l.held), rounded_down(l.returned), rounded_up(l.needed),
                      rounded_up(l.reserve)});
 }
 void from_json(const Json& j, HeldLease& l) {
@@ -120,8 +123,8 @@
     j.at(3).get_to(l.needed), j.at(4).get_to(l.reserve);
 }
 void to_json(Json& j, const LentLease& l) {
-    j = Json::array({rounded_down(l.granted), rounded_down(l.target), std::round(l.threshold), rounded_down(l.reserve),
-                     rounded_down(l.gathered), std::round(l.overload * 100) / 100});
+    j = Json::array({rounded_down(l.granted), rounded_down(l.target), rounded_down(l.threshold),
+                     rounded_down(l.reserve), rounded_down(l.gathered), std::round(l.overload * 100) / 100});
 }
 void from_json(const Json& j, LentLease& l) {
     j.at(0).get_to(l.granted), j.at(1).get_to(l.target), j.at(2).get_to(l.threshold);
--- a/src/roles/proxy/context.hpp
+++ b/src/roles/proxy/context.hpp
@@ -7,6 +7,7 @@
 #include "configuration/node_settings.hpp"
 #include "random.hpp"
 #include "roles/log.hpp"
+#include "routing/fleet_size.hpp"
 #include "routing/route_table.hpp"
 #include "run/loop.hpp"
 
@@ -23,10 +24,17 @@
                               log_error() << line;
                           }};
     std::shared_ptr<const routing::RouteTable> table;   // null until a configuration is known
-    size_t proxies = 1;                                 // in the fleet
+    size_t proxies = 1;                                 // in the fleet, as last told
+    routing::FleetSize fleet_size;                      // the most that there may be
+    Time started;
 
     Context(configuration::NodeSettings node, run::Home& system, uint64_t seed)
-        : settings(std::move(node)), home(system), log(run::Level::error, system), loop(log, system), chance(seed) {}
+        : settings(std::move(node)),
+          home(system),
+          log(run::Level::error, system),
+          loop(log, system),
+          chance(seed),
+          started(loop.now()) {}
     Time now() const { return loop.now(); }
     size_t most_connections() const {
         constexpr size_t kept_back = 64;
--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -375,6 +375,7 @@
 
 void Proxy::fleet_told(const messages::FleetTold& told) {
     context_.proxies = told.proxies;
+    context_.fleet_size.told(told.proxies, context_.now());
     quota_report_.fleet_told(told, context_.now());
     for (auto& serving : pools_)
         serving->balancer().placed(static_cast<int>(told.place), static_cast<int>(told.proxies));
--- a/src/roles/proxy/service_pool.cpp
+++ b/src/roles/proxy/service_pool.cpp
@@ -37,7 +37,8 @@
       name_(std::move(name)),
       number_(number),
       events_(std::move(events)),
-      budget_({context.settings.retry_budget_ratio, context.settings.budget_window, context.settings.budget_slack}),
+      budget_({context.settings.retry_budget_ratio, context.settings.budget_window, context.settings.budget_slack},
+              context.started),
       balancer_(start_balancer(context.now(), balancer_settings(context), seed, *this)) {}
 
 void ServicePool::take(const Request& request) {
@@ -89,6 +90,6 @@
 
 void ServicePool::log(std::string_view line, ServerId) { log_debug() << name_ << ": " << line; }
 
-bool ServicePool::may_repeat(CallId) { return budget_.take(context_.now(), context_.proxies); }
+bool ServicePool::may_repeat(CallId) { return budget_.take(context_.now(), context_.fleet_size.most(context_.now())); }
 
 }   // namespace myrtleroute::proxy
--- /dev/null
+++ b/src/routing/fleet_size.hpp
@@ -0,0 +1,35 @@
+// How many proxies there are, for parts of what all of them share: the most that was told lately.
+//
+// While control nodes are cut off from each other, or have just started, each knows of some proxies only. A part of a
+// shared budget that rests on such a number would be too large on every side.
+#pragma once
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+
+#include "time.hpp"
+
+namespace myrtleroute::routing {
+
+class FleetSize {
+public:
+    void told(size_t proxies, Time now) {
+        while (!told_.empty() && told_.back().proxies <= proxies) told_.pop_back();
+        if (told_.size() < most_kept) told_.push_back({proxies, now});
+    }
+    size_t most(Time now) {
+        while (told_.size() > 1 && now - told_.front().at > remembered) told_.pop_front();
+        return told_.empty() ? 1 : std::max<size_t>(1, told_.front().proxies);
+    }
+
+private:
+    static constexpr Span remembered{30};   // longer than control nodes stay cut off
+    static constexpr size_t most_kept = 1024;
+    struct Told {
+        size_t proxies;
+        Time at;
+    };
+    std::deque<Told> told_;   // falling numbers, the oldest first
+};
+
+}   // namespace myrtleroute::routing
--- a/src/routing/retry_budget.hpp
+++ b/src/routing/retry_budget.hpp
@@ -16,13 +16,19 @@
 
 class RetryBudget {
 public:
-    explicit RetryBudget(RetryBudgetOptions options) : options_(options), counts_(options.window) {}
+    // `started`: when this proxy's process was; what was sent again before it is not known.
+    RetryBudget(RetryBudgetOptions options, Time started)
+        : options_(options), started_(started), counts_(options.window) {}
     void request(Time now) { counts_.add(now, requests); }
-    // Whether one more repeat may be sent; then it is counted.
+    // Whether one more repeat may be sent; then it is counted. `proxies`: the most that there may be.
     bool take(Time now, size_t proxies) {
         // The window of the count reaches back further than the rule's, so a part is kept back for its edges.
         constexpr double used_part = 0.75;
-        const double free = options_.slack * used_part / static_cast<double>(std::max<size_t>(1, proxies));
+        // A process that has just started may have used its part in its life before: it begins with what is kept back.
+        const double known = std::clamp((now - started_) / options_.window, 0.0, 1.0);
+        const double part = used_part * known + (1 - used_part) * (1 - known);
+        double free = options_.slack * part / static_cast<double>(std::max<size_t>(1, proxies));
+        if (now - started_ < fleet_known_after) free = std::min(free, 1.0);   // others may not be told of yet
         const double most = options_.ratio * used_part * counts_.total(now, requests) + free;
         if (counts_.total(now, repeats) + 1 > most) return false;
         counts_.add(now, repeats);
@@ -30,8 +36,10 @@
     }
 
 private:
+    static constexpr Span fleet_known_after{3};
     enum { requests, repeats };
     RetryBudgetOptions options_;
+    Time started_;
     Ring<2, 16> counts_;
 };
 
--- a/tests/system/messages_test.cpp
+++ b/tests/system/messages_test.cpp
@@ -54,6 +54,18 @@
     }
 }
 
+TEST_CASE("amounts of units are not made more on their way, and one request's is not made less") {
+    leases::LeaseReply reply{{"edge-1", 1}, 1, {}};
+    reply.tenants["small"].granted = 0.2 + 0.7 + 0.1;   // a little less than 1
+    reply.tenants["large"].granted = 54321.9;
+    const auto read = std::get<leases::LeaseReply>(*decode(encode(reply)));
+    CHECK(read.tenants.at("small").granted == 1);
+    CHECK(read.tenants.at("large").granted == 54321);
+    leases::LeaseAsk ask{{"edge-1", 1}, 1, 0, {}};
+    ask.tenants["t"].held = 0.3334;
+    CHECK(std::get<leases::LeaseAsk>(*decode(encode(ask))).tenants.at("t").held == 0.334);
+}
+
 TEST_CASE("what is cut short or changed is refused or another message, never a crash") {
     Pcg chance(3);
     for (const auto& message : examples()) {
