Lending after a change of the leader: names of holders are committed, lives prove themselves, waits follow what voters say

Cause: an allocator without memory left room for all that an earlier one might have lent, for seconds; after a start of everything hardly anything was granted for up to seven seconds. Change: the names of the nodes that may hold leases are part of the replicated state; once each has asked twice, the second time with this leader's own reply applied, all that is left is known, and the fill of the time in which nobody used any is credited. A leader begins as soon as those who elected it have been quiet long enough, which a vote now says. Asks wait at the leader until it lends. Ends are kept for each lease; a need is lent whole or not at all; the cap of what is lent is the pool.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -18,6 +18,7 @@
       options_(options),
       chance_(seed),
       heartbeat_at_(now),
+      last_answered_(now),
       on_disk_(last()),
       durable_term_(hard_.term) {
     election_at_ = now + options_.first_election * (1 + chance_.share());
@@ -100,6 +101,7 @@
         persist_hard_state();
     }
     reset_election_timer(now);
+    if (led) last_answered_ = now;
     if (led) outputs_.push_back(LeadershipChanged{false});
 }
 
@@ -110,6 +112,7 @@
     leader_.reset();
     trial_ = trial;
     granted_ = {self_};
+    quiet_ = now - last_answered_;
     reset_election_timer(now);
     VoteRequest request{trial, hard_.term + 1, last(), transfer};
     std::vector<SendTo> requests;
@@ -146,7 +149,7 @@
         persist_hard_state();
     }
     reset_election_timer(now);
-    const SendTo reply{from, VoteReply{false, hard_.term, true}};
+    const SendTo reply{from, VoteReply{false, hard_.term, true, (now - last_answered_).s}};
     if (writes_.empty())
         outputs_.push_back(reply);
     else
@@ -158,6 +161,7 @@
     if (role_ != Role::candidate || reply.trial != trial_ || !reply.granted) return;
     if (reply.term != hard_.term + (trial_ ? 1 : 0)) return;
     granted_.insert(from);
+    if (!trial_) quiet_ = std::min(quiet_, Span{reply.quiet});
     if (!has_quorum(granted_)) return;
     if (trial_)
         start_election(false, false, now);
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -118,6 +118,9 @@
     // Whether this replica leads and a majority has answered a round that it sent within that time. As soon as so much time
     // has passed since another replica was elected, this is true of no earlier leader.
     bool leads_with_answers_within(Span span, Time now) const;
+    // Of a leader: for so long before its election none of those who voted for it, itself included, had answered another
+    // leader or led. No majority has answered a round that an earlier leader sent since.
+    Span quiet_before_election() const { return quiet_; }
     // Whether this replica's disk may be lost without loss: every voter that answers the leader has its last entry.
     bool is_copied() const;
     bool is_voter(const ReplicaId& id) const;
@@ -194,6 +197,8 @@
     std::optional<ReplicaId> leader_;
     Time heard_leader_ = long_ago;
     Time election_at_, heartbeat_at_;
+    Time last_answered_;   // a leader; or when this replica led, or its process started
+    Span quiet_;           // the least of those who have voted for this candidate
     bool trial_ = false;   // the election under way is a pre-vote
     bool transferring_ = false;
     Time transfer_until_ = long_ago;
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -99,6 +99,7 @@
     const bool wrote = writes_.size() > writes_before;
     const SendTo reply{from, AppendReply{hard_.term, append.round, wrote ? last() : on_disk_}};
     note_round(answered_, append.round, now);
+    last_answered_ = now;
     if (wrote)
         writes_.back().then.push_back(reply);
     else if (durable_term_ == hard_.term)
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -40,6 +40,7 @@
     uint64_t version = 0;                          // of the configuration, 0 = there is none
     std::string configuration;                     // the body as the operator sent it
     std::vector<AcceptedConfiguration> accepted;   // the oldest first, bounded
+    std::vector<std::string> lease_holders;        // sorted node names of the proxies that may hold leases, bounded
     bool operator==(const ClusterState&) const = default;
 };
 
@@ -68,6 +69,7 @@
     bool trial = false;
     uint64_t term = 0;   // the voter's; of a granted pre-vote the one asked about
     bool granted = false;
+    double quiet = 0;   // of a vote: seconds for which the voter has answered no leader, nor led
     bool operator==(const VoteReply&) const = default;
 };
 
--- a/src/leases/allocator.cpp
+++ b/src/leases/allocator.cpp
@@ -11,6 +11,7 @@
 constexpr double rounding = 1e-6;   // of the depth
 constexpr double scarce = 0.5;   // of what may be in the pool and lent: below it the limit binds, if all is asked for
 constexpr double nearly_all = 0.95;      // of the fill
+constexpr Span most_idle{8};             // that is credited at the beginning
 constexpr Span held_for{2};              // of its demand, a holder has at the most
 constexpr double threshold_part = 0.2;   // of a holder's target
 // The fill is worked out for so long ahead, at each tick; after that there is none until the next tick.
@@ -35,8 +36,11 @@
     }
 }
 
-void Allocator::begin(Time now, Before before) {
-    before_ = before;
+void Allocator::begin(uint64_t term, const std::set<std::string>& nodes, Time now) {
+    term_ = term;
+    nodes_ = missing_ = nodes;
+    began_ = now;
+    heard_.clear();
     lent_before_gone_ = now + terms_.lent;
     reserves_before_gone_ = now + terms_.reserve;
     holders_.clear();
@@ -45,7 +49,7 @@
         fresh.limit = tenant.limit;
         fresh.budget = tenant.budget;
         fresh.filled = now;
-        fresh.level = before == Before::none ? 0 : -fresh.budget.debt();   // it may have lent so much ahead
+        fresh.level = -fresh.budget.debt();   // an earlier allocator may have lent so much ahead
         plan_fill(fresh, now);
         tenant = std::move(fresh);
     }
@@ -60,16 +64,15 @@
         const auto holder = holders_.find(id);
         if (holder == holders_.end() || holder->second.pooled_until < tenant.filled_until) elsewhere += share.reserve;
     }
-    if (before_ != Before::none && now < reserves_before_gone_)
+    if (!knows_all() && now < reserves_before_gone_)
         elsewhere += std::max(0.0, tenant.budget.reserved_fill() - tenant.reserved);
     tenant.fill = std::max(0.0, tenant.budget.fill - elsewhere);
 }
 
 // Most that an earlier allocator may have lent and that has neither ended nor been reported.
 double Allocator::unknown(const Tenant& tenant, Time now) const {
-    if (before_ == Before::none || now >= lent_before_gone_) return 0;
-    const auto most = before_ == Before::one ? tenant.budget.lent() : tenant.budget.pool();
-    return std::max(0.0, most - tenant.first_reported);
+    if (knows_all() || now >= lent_before_gone_) return 0;
+    return std::max(0.0, tenant.budget.lent() - tenant.first_reported);
 }
 
 // Most units that may stand in the pool, or be lent beyond what is.
@@ -109,6 +112,7 @@
         plan_fill(tenant, now);
     }
     std::erase_if(tenants_, [](const auto& known) { return known.second.is_over(); });
+    std::erase_if(heard_, [&](const auto& known) { return !nodes_.count(known.first); });
     std::erase_if(holders_, [&](const auto& known) {
         return now >= known.second.lent_until && now >= known.second.reserve_until;
     });
@@ -125,7 +129,7 @@
     const double by_demand = tenant.budget.reserved_fill() * part;
     const double free = tenant.budget.reserved_fill() - tenant.reserved;
     if (free < 0) return std::min(by_demand, share.reserve);   // the limit has been lowered
-    if (before_ != Before::none && now < reserves_before_gone_) return share.reserve;
+    if (!knows_all() && now < reserves_before_gone_) return share.reserve;
     return std::min(by_demand, share.reserve + free);
 }
 
@@ -143,10 +147,10 @@
     // To be had without asking: where units are scarce, in proportion to the demand.
     const double wanted = std::max(0.0, lent.target - share.lent);
     lent.granted = std::min({wanted, binds ? available * part : available, may_be_lent});
-    // For requests whose turn it is, ahead of the fill where need be.
-    const double lacking = std::max(0.0, asked.needed - lent.granted);
-    const double ahead = std::max(0.0, tenant.level - lent.granted + budget.debt());
-    lent.granted += std::min({lacking, ahead, std::max(0.0, may_be_lent - lent.granted)});
+    // For requests whose turn it is, ahead of the fill where need be. A part of what a request needs would be of no use.
+    const double most = std::min(tenant.level + budget.debt(), may_be_lent);
+    for (const double needed : {asked.needed_first, asked.needed})
+        if (needed > lent.granted && needed <= most) lent.granted = needed;
     tenant.level -= lent.granted;
     const Share before = share;
     share.granted = lent.granted;
@@ -176,36 +180,74 @@
 }
 
 std::optional<LeaseReply> Allocator::ask(const LeaseAsk& ask, Time now) {
+    if (!is_admitted(ask.holder.node)) return {};
     if (holders_.size() >= most_holders && !holders_.count(ask.holder)) return {};
-    const auto [known, is_new] = holders_.try_emplace(ask.holder);
-    auto& holder = known->second;
+    auto& holder = holders_[ask.holder];
     if (ask.number <= holder.last_ask) return {};
-    if (is_new) end_other_lives(ask.holder);
-    const bool took_reply = !is_new && ask.applied == holder.last_ask;
+    heard_[ask.holder.node] = now;
+    const bool took_reply = holder.last_ask > 0 && ask.applied == holder.last_ask && ask.applied_term == term_;
     if (took_reply) holder.pooled_until = holder.replied + terms_.pooled;
+    if (took_reply && !std::exchange(holder.proven, true)) note_first(ask, now);
     holder.last_ask = ask.number;
     holder.replied = now;
     holder.lent_until = now + terms_.lent;
     holder.reserve_until = now + terms_.reserve;
-    LeaseReply reply{ask.holder, ask.number, {}};
-    for (auto& [name, tenant] : tenants_) {
-        const auto told = ask.tenants.find(name);
-        if (told == ask.tenants.end() && !tenant.shares.count(ask.holder)) continue;
+
+    auto names = std::exchange(holder.tenants, {});
+    for (const auto& [name, told] : ask.tenants) names.insert(name);
+    LeaseReply reply{ask.holder, ask.number, term_, !holder.proven, {}};
+    for (const auto& name : names) {
+        const auto known = tenants_.find(name);
+        if (known == tenants_.end()) continue;
+        auto& tenant = known->second;
         refill(tenant, now);
+        const auto told = ask.tenants.find(name);
         const HeldLease held = told == ask.tenants.end() ? HeldLease{} : told->second;
-        if (is_new) tenant.first_reported += held.held + held.returned;
         auto& share = tenant.shares[ask.holder];
         const Share before = share;
-        // What the last reply granted, if that was not taken, will never be used.
-        const double back = held.returned + (took_reply ? 0 : before.granted);
+        // What the last reply granted, if that was not taken, will never be used. What an ask gives up that may be one
+        // of before is not counted on.
+        const double back = took_reply ? held.returned : before.granted;
         share = {held.held, 0, held.reserve, held.asked};
         count(tenant, before, share);
         tenant.level = std::min(tenant.level + back, room(tenant, now));
-        if (told != ask.tenants.end()) reply.tenants[name] = lend(tenant, share, held, now);
+        if (told == ask.tenants.end()) continue;
+        reply.tenants[name] = lend(tenant, share, held, now);
+        holder.tenants.insert(name);
     }
     return reply;
 }
 
+// The first ask that proves that the holder lives. Other lives of its node have ended. What it holds, less what this
+// allocator has granted it, was lent before; a tenant that it does not name it has not heard of for some time.
+void Allocator::note_first(const LeaseAsk& ask, Time now) {
+    end_other_lives(ask.holder);
+    const Span forgotten = std::min(Span{ask.age}, terms_.remembered);
+    for (auto& [name, tenant] : tenants_) {
+        const auto told = ask.tenants.find(name);
+        const Span unused = told == ask.tenants.end() ? forgotten : Span{told->second.unused};
+        tenant.last_used = std::max(tenant.last_used, now - unused);
+        const auto share = tenant.shares.find(ask.holder);
+        if (told == ask.tenants.end() || share == tenant.shares.end()) continue;
+        tenant.first_reported += std::max(0.0, told->second.held - share->second.granted);
+    }
+    if (missing_.erase(ask.holder.node) > 0 && knows_all()) credit_idle_time(now);
+}
+
+// By now all have said when they last used units. Before this allocator began, the fill of the time since then went unused.
+void Allocator::credit_idle_time(Time now) {
+    for (auto& [name, tenant] : tenants_) {
+        refill(tenant, now);
+        const double idle = std::clamp((began_ - tenant.last_used).s, 0.0, most_idle.s);
+        tenant.level = std::min(tenant.level + tenant.budget.fill * idle, room(tenant, now));
+    }
+}
+
+std::optional<Time> Allocator::heard(const std::string& node) const {
+    const auto known = heard_.find(node);
+    return known == heard_.end() ? std::nullopt : std::optional(known->second);
+}
+
 std::optional<std::string> Allocator::violated_invariant() const {
     for (const auto& [name, tenant] : tenants_) {
         const auto& budget = tenant.budget;
--- a/src/leases/allocator.hpp
+++ b/src/leases/allocator.hpp
@@ -1,13 +1,15 @@
 // Lends the units of shared limits to the proxies that ask for them, as a state machine without clock and I/O.
 //
 // One allocator acts at a time: the caller sees to it that `begin` is called no sooner than the authority of the one
-// before has ended, and asks are handed in only while its own holds. It begins without memory. What holders may still
-// have from before is bounded by what any allocator may lend, and is taken into account until it has ended.
+// before has ended, and asks are handed in only while its own holds. It begins without memory of what was lent, but
+// with the names of all nodes to which anything may have been lent: once each of them has asked, it knows all that is
+// left. Until then what others may still hold is bounded by what any allocator may lend, and by the leases' ends.
 #pragma once
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "leases/lease.hpp"
 #include "leases/limit.hpp"
@@ -20,17 +22,17 @@
 
     // The limits in force, by tenant; tenants without a limit are left out.
     void limits(std::map<std::string, Limit> limits, Time now);
-    // Which allocators there were before this one.
-    enum class Before {
-        none,      // there surely was none whose leases may still hold
-        one,       // the last one acted for longer than leases hold
-        several,   // that is not known
-    };
-    // Starts anew. The authority of any earlier allocator has ended.
-    void begin(Time now, Before before);
+    // Starts anew. The authority of any earlier allocator has ended. `term`: no other allocator has it. `nodes`: those to
+    // which earlier ones may have lent.
+    void begin(uint64_t term, const std::set<std::string>& nodes, Time now);
+    // The nodes to which may be lent from now on; at least all to which something may have been lent.
+    void admit(std::set<std::string> nodes) { nodes_ = std::move(nodes); }
+    bool is_admitted(const std::string& node) const { return nodes_.count(node) > 0; }
+    // When a node asked last; nothing where it has not since `begin`.
+    std::optional<Time> heard(const std::string& node) const;
     void tick(Time now);   // several times a second
 
-    // Nothing where the ask is older than one that has been answered.
+    // Nothing where the ask is older than one that has been answered, or its node is not admitted.
     std::optional<LeaseReply> ask(const LeaseAsk& ask, Time now);
 
     // What must hold at any time; the first that doesn't is named.
@@ -55,6 +57,9 @@
         Time lent_until = long_ago;      // whatever it holds has ended then
         Time pooled_until = long_ago;    // until then it leaves its reserve to the pool
         Time reserve_until = long_ago;   // its reserve has ended then
+        // It has taken a reply of this allocator: its process lives, and what it tells is not of before.
+        bool proven = false;
+        std::set<std::string> tenants;   // of which it has a share
     };
     struct Tenant {
         Limit limit;
@@ -62,13 +67,18 @@
         double level = 0;   // units in the pool
         double fill = 0;    // units a second
         Time filled = long_ago, filled_until = long_ago;
-        double first_reported = 0;   // what holders had when this allocator first heard of them
+        // Of what holders said when this allocator first heard of them: what they held, and when any of them last used units.
+        double first_reported = 0;
+        Time last_used = long_ago;
         std::map<HolderId, Share> shares;
         double lent = 0, reserved = 0, asked = 0;   // sums of the shares
         bool is_over() const { return limit.rate <= 0 && shares.empty(); }
     };
     void plan_fill(Tenant& tenant, Time now);
     void refill(Tenant& tenant, Time now);
+    bool knows_all() const { return missing_.empty(); }
+    void note_first(const LeaseAsk& ask, Time now);
+    void credit_idle_time(Time now);
     double unknown(const Tenant& tenant, Time now) const;
     double room(const Tenant& tenant, Time now) const;
     void count(Tenant& tenant, const Share& before, const Share& after);
@@ -82,7 +92,12 @@
     LeaseTerms terms_;
     std::map<std::string, Tenant> tenants_;
     std::map<HolderId, Holder> holders_;
-    Before before_ = Before::none;
+    uint64_t term_ = 0;
+    std::set<std::string> nodes_;   // admitted
+    std::set<std::string>
+        missing_;   // of these, at the beginning, those of whom nothing that is proven was heard since
+    std::map<std::string, Time> heard_;
+    Time began_ = long_ago;
     Time lent_before_gone_ = long_ago, reserves_before_gone_ = long_ago;
 };
 
--- a/src/leases/holder.cpp
+++ b/src/leases/holder.cpp
@@ -8,16 +8,18 @@
 namespace myrtleroute::leases {
 namespace {
 
-constexpr Span averaged{2};                           // demand
-constexpr Span ask_every{0.25}, ask_unchanged{0.5};   // the latter: nothing was used since
-constexpr Span reply_within{0.4};                     // then another ask is sent
-constexpr Span wait_within{0.1};                      // of a request, for units
-constexpr Span silent{0.8};                           // without a reply for so long, requests don't wait for one
-constexpr Span forgotten{10};                         // a tenant of whom nothing is asked
-constexpr size_t most_waiting = 256, most_tenants = 8192;
-constexpr double much_more = 1.1;    // than the target: then the rest is returned
-constexpr double hopeless = 1.5;     // overload at which coming back soon is of no use
-constexpr Span soon{0.5}, late{5};   // when to come back
+constexpr Span averaged{2};                                // demand
+constexpr Span ask_every{0.25}, ask_unchanged{0.5};        // the latter: nothing was used since
+constexpr Span supersede_after{0.03};                      // by an ask for requests that wait: the reply is late
+constexpr Span most_reply_within{0.8};                     // that an unanswered ask is waited for
+constexpr double longer = 1.5;                             // each time that none has come
+constexpr Span unanswered{0.1};                            // then requests that come don't wait for an answer
+constexpr Span silent{0.8};                                // without a reply for so long, requests don't wait for one
+constexpr size_t most_waiting = 64, most_tenants = 8192;   // the former: of a tenant
+constexpr double much_more = 1.1;                          // than the target: then the rest is returned
+constexpr double hopeless = 1.5;                           // overload at which coming back soon is of no use
+constexpr Span allocator_within{1.6};   // of the last reply, or the start: where there is another one, it has begun
+constexpr Span soon{0.3}, late{5};      // when to come back
 constexpr double rounding = 1e-6;
 
 }   // namespace
@@ -34,45 +36,52 @@
 }
 
 void Holder::settle(Lease& lease, Time now) {
-    if (now >= held_until_) lease.held = 0;
-    const auto from = std::max(lease.gathered_at, gather_from_);
-    const auto until = std::min(now, gather_until_);
+    if (now >= lease.held_until) lease.held = 0;
+    const auto from = std::max(lease.gathered_at, lease.gather_from);
+    const auto until = std::min(now, lease.gather_until);
     if (until > from && lease.lent.reserve > 0) {
         const double room = std::max(0.0, lease.lent.gathered - lease.gathered);
         gain(lease.gathered, std::min(room, lease.lent.reserve * (until - from).s));
     }
     lease.gathered_at = now;
-    if (now < gather_until_) return;
+    if (now < lease.gather_until) return;
     lease.gathered = 0;
     lease.lent.reserve = lease.lent.gathered = 0;
 }
 
-void Holder::use(Lease& lease, double cost) {
+void Holder::use(Lease& lease, double cost, Time now) {
     const double gathered = std::min(cost, lease.gathered);
     lease.gathered -= gathered;
     lease.held -= cost - gathered;
     lease.changed = true;
+    lease.used_at = now;
     totals_.used += cost;
 }
 
 void Holder::connected(bool is_up) {
     connected_ = is_up;
-    asked_at_ = long_ago;
+    asked_at_ = unanswered_since_ = long_ago;
+    reply_within_ = first_reply_within;
 }
 
 // Whether a request that waits now may hear of its units in time.
 bool Holder::may_be_answered(Time now) const {
     if (!connected_) return false;
-    return now - replied_ < silent || asked_at_ <= long_ago || now - asked_at_ < wait_within;
+    if (replied_ <= long_ago && now - started_ < allocator_within) return true;
+    return now - replied_ < silent || unanswered_since_ <= long_ago || now - unanswered_since_ < unanswered;
 }
 
 Decision Holder::refusal(const Lease& lease, double cost, RefusalCause cause, Time now) const {
     Span retry_after = soon;
     if (cause == RefusalCause::out_of_touch) {
-        const double begins = std::max(0.0, (gather_from_ - now).s);
+        // There is a new allocator soon, and until then the reserve.
+        const Span allocator = std::max(replied_, started_) + allocator_within - now;
+        retry_after = std::clamp(allocator, soon, late);
         const double lacking = cost - lease.usable();
-        const bool gathers = lease.lent.reserve > 0 && lacking <= lease.lent.gathered;
-        retry_after = gathers ? std::clamp(Span{begins + lacking / lease.lent.reserve}, soon, late) : late;
+        if (lease.lent.reserve > 0 && lacking <= lease.lent.gathered) {
+            const Span begins = std::max(Span{}, lease.gather_from - now);
+            retry_after = std::min(retry_after, std::max(soon, begins + Span{lacking / lease.lent.reserve}));
+        }
     } else if (lease.lent.overload > hopeless) {
         retry_after = late;
     }
@@ -85,7 +94,7 @@
     return Standing{known->second.usable(), known->second.lent.overload};
 }
 
-Decision Holder::request(const std::string& tenant, double cost, uint64_t ticket, Time now) {
+Decision Holder::request(const std::string& tenant, double cost, uint64_t ticket, Span patience, Time now) {
     if (leases_.size() >= most_tenants && !leases_.count(tenant))
         return {Verdict::refused, RefusalCause::not_lent, late};
     auto& lease = leases_[tenant];
@@ -99,12 +108,12 @@
     if (in_touch && lease.lent.threshold > 0 && free < lease.lent.threshold)
         return refusal(lease, cost, RefusalCause::over_limit, now);
     if (free >= cost - rounding) {
-        use(lease, cost);
+        use(lease, cost, now);
         return {};
     }
-    if (!may_be_answered(now) || waiting_count_ >= most_waiting)
+    if (!may_be_answered(now) || lease.waiting.size() >= most_waiting)
         return refusal(lease, cost, RefusalCause::out_of_touch, now);
-    lease.waiting.push_back({ticket, cost, now + wait_within, 0});
+    lease.waiting.push_back({ticket, cost, now + patience, 0});
     lease.changed = true;
     ++waiting_count_;
     find_next_deadline();
@@ -130,7 +139,7 @@
     for (auto& waiting : lease.waiting) {
         const bool answered = replied && waiting.asked_with > 0 && waiting.asked_with <= applied_;
         if (left.empty() && lease.usable() >= waiting.cost - rounding) {
-            use(lease, waiting.cost);
+            use(lease, waiting.cost, now);
             decided_.push_back({waiting.ticket, {}});
         } else if (answered || now >= waiting.until) {
             const auto why = answered ? RefusalCause::not_lent : RefusalCause::out_of_touch;
@@ -160,6 +169,7 @@
         waiting.asked_with = number_;
     }
     told.needed = std::max(0.0, needed);
+    if (!lease.waiting.empty()) told.needed_first = std::max(0.0, lease.waiting.front().cost - lease.usable());
     if (lease.waiting.empty() && applied_ > 0 && lease.held > much_more * lease.lent.target) {
         told.returned = lease.held - lease.lent.target;
         lease.held -= told.returned;
@@ -167,26 +177,31 @@
     }
     told.held = lease.held;
     told.reserve = lease.lent.reserve;
+    told.unused = (now - std::max(started_, lease.used_at)).s;
     lease.changed = false;
     return told;
 }
 
 std::optional<LeaseAsk> Holder::ask(Time now) {
     if (!connected_) return {};
-    if (asked_at_ > long_ago && now - asked_at_ < reply_within) return {};
     std::erase_if(leases_, [&](const auto& known) {
-        return known.second.waiting.empty() && now - known.second.requested_at > forgotten;
+        return known.second.waiting.empty() && now - known.second.requested_at > terms_.remembered;
     });
-    if (leases_.empty()) return {};
     bool urgent = false, changed = false;
     for (const auto& [name, lease] : leases_) {
         changed = changed || lease.changed;
-        urgent = urgent || !lease.waiting.empty();
+        urgent = urgent || (!lease.waiting.empty() && lease.waiting.back().asked_with == 0);
     }
-    if (!urgent && now - last_ask_ < (changed ? ask_every : ask_unchanged)) return {};
-    LeaseAsk ask{id_, ++number_, applied_, {}};
+    if (asked_at_ > long_ago &&
+        now - asked_at_ < (urgent || ask_at_once_ ? std::min(supersede_after, reply_within_) : reply_within_))
+        return {};
+    if (!urgent && !ask_at_once_ && now - last_ask_ < (changed ? ask_every : ask_unchanged)) return {};
+    ask_at_once_ = false;
+    LeaseAsk ask{id_, ++number_, applied_, applied_term_, (now - started_).s, {}};
     for (auto& [name, lease] : leases_) ask.tenants[name] = report(lease, now);
+    if (asked_at_ > long_ago) reply_within_ = std::min(reply_within_ * longer, most_reply_within);
     asked_at_ = last_ask_ = now;
+    if (unanswered_since_ <= long_ago) unanswered_since_ = now;
     return ask;
 }
 
@@ -196,17 +211,21 @@
     const Time sent = std::exchange(asked_at_, long_ago);
     applied_ = reply.number;
     replied_ = now;
-    // What was held before is held on: this reply's ask has named it.
-    held_until_ = sent + terms_.lent;
-    gather_from_ = now + terms_.pooled;
-    gather_until_ = sent + terms_.reserve;
+    reply_within_ = std::clamp((now - sent) * 2, first_reply_within, most_reply_within);
+    unanswered_since_ = long_ago;
+    applied_term_ = reply.term;
+    ask_at_once_ = reply.confirm;
     for (const auto& [name, lent] : reply.tenants) {
         const auto known = leases_.find(name);
         if (known == leases_.end()) continue;
         auto& lease = known->second;
         lease.lent = lent;
         lease.gathered = std::min(lease.gathered, lent.gathered);
-        if (now < held_until_) gain(lease.held, lent.granted);
+        // What was held before is held on: the ask has named it.
+        lease.held_until = sent + terms_.lent;
+        lease.gather_from = now + terms_.pooled;
+        lease.gather_until = sent + terms_.reserve;
+        if (now < lease.held_until) gain(lease.held, lent.granted);
     }
     for (auto& [name, lease] : leases_)
         if (!lease.waiting.empty()) decide_waiting(lease, true, now);
--- a/src/leases/holder.hpp
+++ b/src/leases/holder.hpp
@@ -1,7 +1,7 @@
 // A proxy's leases: decides for each request of a tenant whether it is within the limit that all proxies share.
 //
 // A state machine without clock and I/O. Units are used where they were lent, so a request is decided at once while
-// enough are held; else it waits for the reply to an ask, for a tenth of a second at the most. `now` is always the
+// enough are held; else it waits for the reply to an ask, as long as one may come in time. `now` is always the
 // moment at which the units are used, read from the clock after whatever may have held the process up.
 #pragma once
 #include <deque>
@@ -31,14 +31,18 @@
 
 class Holder {
 public:
-    Holder(HolderId id, LeaseTerms terms) : id_(std::move(id)), terms_(terms) {}
+    // `started`: when the holder's process was.
+    Holder(HolderId id, LeaseTerms terms, Time started) : id_(std::move(id)), terms_(terms), started_(started) {}
 
-    // A request that costs so many units. `ticket` names it in what `take_decided` returns.
-    Decision request(const std::string& tenant, double cost, uint64_t ticket, Time now);
+    // A request that costs so many units. `ticket` names it in what `take_decided` returns; it waits for units no longer
+    // than `patience`.
+    Decision request(const std::string& tenant, double cost, uint64_t ticket, Span patience, Time now);
     void withdraw(uint64_t ticket);   // a request that waits no longer
 
     // Whether there is a connection on which asks can be sent. Where it ends, the ask under way gets no reply.
     void connected(bool is_up);
+    // There may be another allocator, or it wants to hear again: the next ask is due.
+    void hurry() { ask_at_once_ = true; }
     // The next ask, where one is due. It counts as sent: at most one is under way.
     std::optional<LeaseAsk> ask(Time now);
     void apply(const LeaseReply& reply, Time now);
@@ -66,6 +70,7 @@
     Time replied() const { return replied_; }   // when the allocator's last reply came
 
 private:
+    static constexpr Span first_reply_within{0.15};
     struct Waiting {
         uint64_t ticket = 0;
         double cost = 0;
@@ -74,17 +79,20 @@
     };
     struct Lease {
         double asked = 0;   // units a second, averaged
-        Time averaged_at = long_ago, requested_at = long_ago;
+        Time averaged_at = long_ago, requested_at = long_ago, used_at = long_ago;
         double held = 0, gathered = 0;   // units: lent, and got of the reserve
         Time gathered_at = long_ago;
         LentLease lent;   // as it was told last
+        // When what was lent ends, and from when to when the reserve is this holder's own. Only a reply that names the
+        // tenant moves these: the allocator counts nothing else.
+        Time held_until = long_ago, gather_from = long_ago, gather_until = long_ago;
         std::deque<Waiting> waiting;
         bool changed = true;   // since the last ask
         double usable() const { return held + gathered; }
     };
     void note_asked(Lease& lease, double cost, Time now) const;
     void settle(Lease& lease, Time now);   // to what may be used now
-    void use(Lease& lease, double cost);
+    void use(Lease& lease, double cost, Time now);
     void gain(double& into, double units);
     bool may_be_answered(Time now) const;
     Decision refusal(const Lease& lease, double cost, RefusalCause cause, Time now) const;
@@ -94,15 +102,19 @@
 
     HolderId id_;
     LeaseTerms terms_;
+    Time started_;
     std::map<std::string, Lease> leases_;
     std::vector<Decided> decided_;
     size_t waiting_count_ = 0;
     Time waits_until_ = long_ago;
     uint64_t number_ = 0, applied_ = 0;   // of asks
     bool connected_ = false;
-    Time asked_at_ = long_ago;   // when the ask under way was sent; long ago: none is
+    Time asked_at_ = long_ago;                 // when the ask under way was sent; long ago: none is
+    Time unanswered_since_ = long_ago;         // the first ask since the last reply, or since the connection came up
+    Span reply_within_ = first_reply_within;   // of the ask under way; then another one is sent
     Time last_ask_ = long_ago, replied_ = long_ago;
-    Time held_until_ = long_ago, gather_from_ = long_ago, gather_until_ = long_ago;
+    uint64_t applied_term_ = 0;
+    bool ask_at_once_ = false;
     Totals totals_;
 };
 
--- a/src/leases/lease.hpp
+++ b/src/leases/lease.hpp
@@ -13,11 +13,12 @@
 
 // How long what is told holds. All spans are measured on the clock of the one who waits; clocks are never compared.
 struct LeaseTerms {
-    Span lent{4};          // units that were lent, from the sending of the ask that they answer
-    Span pooled{1.5};      // the reserve stays with the allocator so long after a reply has come
-    Span reserve{7};       // the reserve, from the sending of the ask that it answers
-    Span authority{0.5};   // of an allocator, from the sending of the round that a majority has answered
-    Span takeover_margin{0.05};
+    Span lent{4};                 // units that were lent, from the sending of the ask that they answer
+    Span pooled{1.5};             // the reserve stays with the allocator so long after a reply has come
+    Span reserve{7};              // the reserve, from the sending of the ask that it answers
+    Span authority{0.35};         // of an allocator, from the sending of the round that a majority has answered
+    Span remembered{10};          // by a holder, a tenant of whom nothing is asked
+    Span takeover_margin{0.05};   // beyond that, until another one begins
 };
 
 // Names one life of a proxy's process. Another life of the same node is another holder.
@@ -29,19 +30,23 @@
 
 // Of one tenant, as the holder has it.
 struct HeldLease {
-    double asked = 0;      // units a second that requests have asked for lately
-    double held = 0;       // units lent and not used
-    double returned = 0;   // units that the holder has given up with this ask
-    double needed = 0;     // units that requests wait for just now
-    double reserve = 0;    // units a second that it may use by itself out of touch
+    double asked = 0;          // units a second that requests have asked for lately
+    double held = 0;           // units lent and not used
+    double returned = 0;       // units that the holder has given up with this ask
+    double needed = 0;         // units that requests wait for just now, beyond what is held
+    double needed_first = 0;   // of these, for the one that came first
+    double reserve = 0;        // units a second that it may use by itself out of touch
+    double unused = 0;         // seconds for which this life of the holder has used none
     bool operator==(const HeldLease&) const = default;
 };
 
 struct LeaseAsk {
     HolderId holder;
-    uint64_t number = 0;    // rises with each ask of the holder
-    uint64_t applied = 0;   // the newest ask whose reply the holder has taken
-    std::map<std::string, HeldLease> tenants;
+    uint64_t number = 0;                        // rises with each ask of the holder
+    uint64_t applied = 0;                       // the newest ask whose reply the holder has taken
+    uint64_t applied_term = 0;                  // of the allocator that gave it
+    double age = 0;                             // seconds since this life began
+    std::map<std::string, HeldLease> tenants;   // those of whom something was asked lately
     bool operator==(const LeaseAsk&) const = default;
 };
 
@@ -58,7 +63,9 @@
 
 struct LeaseReply {
     HolderId holder;
-    uint64_t number = 0;   // of the ask
+    uint64_t number = 0;    // of the ask
+    uint64_t term = 0;      // of the allocator
+    bool confirm = false;   // another ask is wanted at once: this one has not proven that the holder lives
     std::map<std::string, LentLease> tenants;
     bool operator==(const LeaseReply&) const = default;
 };
--- a/src/leases/limit.hpp
+++ b/src/leases/limit.hpp
@@ -30,11 +30,11 @@
     double fill = 0;    // a second: how fast units come into being
     double depth = 0;   // most units that wait anywhere
 
-    double pool() const { return depth * 0.75; }          // at the allocator and lent out, together
-    double lent() const { return depth * 0.6; }           // lent out: the most
-    double lent_usually() const { return depth * 0.5; }   // lent out to be had without asking
-    double debt() const { return depth * 0.05; }          // lent ahead of the fill, for single large requests
-    double isolated() const { return depth * 0.2; }       // gathered by proxies that are out of touch, together
+    double pool() const { return depth * 0.75; }           // at the allocator and lent out, together
+    double lent() const { return pool(); }                 // lent out: the most
+    double lent_usually() const { return depth * 0.45; }   // lent out to be had without asking
+    double debt() const { return depth * 0.05; }           // lent ahead of the fill, for single large requests
+    double isolated() const { return depth * 0.2; }        // gathered by proxies that are out of touch, together
     // Of the fill: what proxies out of touch make use of by themselves, at the most, all of them together.
     double reserved_fill() const { return fill * 0.5; }
 };
--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -24,11 +24,16 @@
 void to_json(Json& j, const AcceptedConfiguration& a) { j = Json::array({a.version, a.digest}); }
 void from_json(const Json& j, AcceptedConfiguration& a) { j.at(0).get_to(a.version), j.at(1).get_to(a.digest); }
 void to_json(Json& j, const ClusterState& s) {
-    j = {{"voters", s.voters}, {"version", s.version}, {"body", s.configuration}, {"accepted", s.accepted}};
+    j = {{"voters", s.voters},
+         {"version", s.version},
+         {"body", s.configuration},
+         {"accepted", s.accepted},
+         {"lease_holders", s.lease_holders}};
 }
 void from_json(const Json& j, ClusterState& s) {
     j.at("voters").get_to(s.voters), j.at("version").get_to(s.version);
     j.at("body").get_to(s.configuration), j.at("accepted").get_to(s.accepted);
+    if (j.contains("lease_holders")) j.at("lease_holders").get_to(s.lease_holders);   // disks of before have none
 }
 void to_json(Json& j, const Entry& e) { j = {{"position", e.position}, {"state", e.state}}; }
 void from_json(const Json& j, Entry& e) { j.at("position").get_to(e.position), j.at("state").get_to(e.state); }
@@ -47,9 +52,12 @@
     j.at("trial").get_to(m.trial), j.at("term").get_to(m.term);
     j.at("last").get_to(m.last), j.at("transfer").get_to(m.transfer);
 }
-void to_json(Json& j, const VoteReply& m) { j = {{"trial", m.trial}, {"term", m.term}, {"granted", m.granted}}; }
+void to_json(Json& j, const VoteReply& m) {
+    j = {{"trial", m.trial}, {"term", m.term}, {"granted", m.granted}, {"quiet", m.quiet}};
+}
 void from_json(const Json& j, VoteReply& m) {
-    j.at("trial").get_to(m.trial), j.at("term").get_to(m.term), j.at("granted").get_to(m.granted);
+    j.at("trial").get_to(m.trial), j.at("term").get_to(m.term);
+    j.at("granted").get_to(m.granted), j.at("quiet").get_to(m.quiet);
 }
 void to_json(Json& j, const Append& m) {
     j = {{"term", m.term},     {"round", m.round},           {"last", m.last},
@@ -116,11 +124,12 @@
 void from_json(const Json& j, HolderId& h) { j.at(0).get_to(h.node), j.at(1).get_to(h.life); }
 void to_json(Json& j, const HeldLease& l) {
     j = Json::array({rounded_up(l.asked), rounded_up(l.held), rounded_down(l.returned), rounded_up(l.needed),
-                     rounded_up(l.reserve)});
+                     rounded_up(l.needed_first), rounded_up(l.reserve), rounded_down(l.unused)});
 }
 void from_json(const Json& j, HeldLease& l) {
     j.at(0).get_to(l.asked), j.at(1).get_to(l.held), j.at(2).get_to(l.returned);
-    j.at(3).get_to(l.needed), j.at(4).get_to(l.reserve);
+    j.at(3).get_to(l.needed), j.at(4).get_to(l.needed_first);
+    j.at(5).get_to(l.reserve), j.at(6).get_to(l.unused);
 }
 void to_json(Json& j, const LentLease& l) {
     j = Json::array({rounded_down(l.granted), rounded_down(l.target), rounded_down(l.threshold),
@@ -131,15 +140,20 @@
     j.at(3).get_to(l.reserve), j.at(4).get_to(l.gathered), j.at(5).get_to(l.overload);
 }
 void to_json(Json& j, const LeaseAsk& m) {
-    j = {{"holder", m.holder}, {"number", m.number}, {"applied", m.applied}, {"tenants", m.tenants}};
+    j = {{"holder", m.holder},         {"number", m.number},  {"applied", m.applied}, {"applied_term", m.applied_term},
+         {"age", rounded_down(m.age)}, {"tenants", m.tenants}};
 }
 void from_json(const Json& j, LeaseAsk& m) {
     j.at("holder").get_to(m.holder), j.at("number").get_to(m.number);
-    j.at("applied").get_to(m.applied), j.at("tenants").get_to(m.tenants);
+    j.at("applied").get_to(m.applied), j.at("applied_term").get_to(m.applied_term), j.at("age").get_to(m.age),
+        j.at("tenants").get_to(m.tenants);
+}
+void to_json(Json& j, const LeaseReply& m) {
+    j = {{"holder", m.holder}, {"number", m.number}, {"term", m.term}, {"confirm", m.confirm}, {"tenants", m.tenants}};
 }
-void to_json(Json& j, const LeaseReply& m) { j = {{"holder", m.holder}, {"number", m.number}, {"tenants", m.tenants}}; }
 void from_json(const Json& j, LeaseReply& m) {
-    j.at("holder").get_to(m.holder), j.at("number").get_to(m.number), j.at("tenants").get_to(m.tenants);
+    j.at("holder").get_to(m.holder), j.at("number").get_to(m.number), j.at("term").get_to(m.term);
+    j.at("confirm").get_to(m.confirm), j.at("tenants").get_to(m.tenants);
 }
 
 }   // namespace leases
--- a/src/roles/control/lending_service.cpp
+++ b/src/roles/control/lending_service.cpp
@@ -1,5 +1,6 @@
 #include "roles/control/lending_service.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/invariants.hpp"
@@ -8,6 +9,9 @@
 namespace myrtleroute::control {
 namespace {
 
+constexpr size_t most_nodes = 4096;
+constexpr Span forgotten{60};   // a node that has not asked for so long; its leases have ended long before
+
 std::map<std::string, leases::Limit> limits_of(const std::string& body) {
     std::map<std::string, leases::Limit> limits;
     const auto checked = configuration::read_configuration(body);
@@ -25,37 +29,68 @@
 // Called often enough to see every leader that acts for a while.
 void LendingService::follow_leadership(Time now) {
     if (!replica_.leader() || replica_.term() == reign_.term) return;
-    reign_before_ = std::exchange(reign_, Reign{replica_.term(), now});
+    reign_ = {replica_.term(), now};
     lends_ = false;
 }
 
 bool LendingService::may_lend(Time now) const {
-    return replica_.leads_with_answers_within(terms_.authority, now) && reign_.term == replica_.term() &&
-           now >= reign_.since + terms_.authority + terms_.takeover_margin;
-}
-
-leases::Allocator::Before LendingService::predecessors(Time now) const {
-    const Span settled = terms_.lent + terms_.authority + terms_.takeover_margin;
-    const bool was_short = reign_before_.since > long_ago && now - reign_before_.since < settled + settled;
-    return was_short ? leases::Allocator::Before::several : leases::Allocator::Before::one;
+    if (!replica_.leads_with_answers_within(terms_.authority, now) || reign_.term != replica_.term()) return false;
+    const Span left = terms_.authority + terms_.takeover_margin - replica_.quiet_before_election();
+    return now >= reign_.since + std::max(Span{}, left);
 }
 
 void LendingService::tick(Time now) {
     follow_leadership(now);
     if (!may_lend(now)) return;
+    if (!lends_ && !is_settled()) return;   // what earlier leaders have committed is not known for sure
     if (configuration_) allocator_.limits(limits_of(*std::exchange(configuration_, std::nullopt)), now);
-    if (!std::exchange(lends_, true)) allocator_.begin(now, predecessors(now));
+    if (!lends_) {
+        lends_ = true;
+        lends_since_ = now;
+        applicants_.clear();
+        allocator_.begin(reign_.term, committed_nodes(), now);
+    }
     allocator_.tick(now);
+    change_nodes(now);
     check_invariant();
 }
 
 std::optional<leases::LeaseReply> LendingService::ask(const leases::LeaseAsk& ask, Time now) {
     if (!lends_ || !may_lend(now)) return {};
+    if (!allocator_.is_admitted(ask.holder.node) && applicants_.size() < most_nodes) {
+        applicants_.insert(ask.holder.node);
+        change_nodes(now);
+    }
     auto reply = allocator_.ask(ask, now);
     check_invariant();
     return reply;
 }
 
+bool LendingService::is_settled() const {
+    const auto& entry = replica_.entry();
+    return entry && entry->position.term == replica_.term() && replica_.committed() >= entry->position.index;
+}
+
+std::set<std::string> LendingService::committed_nodes() const {
+    const auto& names = replica_.entry()->state.lease_holders;
+    return {names.begin(), names.end()};
+}
+
+// One change at a time: those that have asked come in, those that have not asked for long go.
+void LendingService::change_nodes(Time now) {
+    if (!is_settled()) return;
+    auto nodes = committed_nodes();
+    allocator_.admit(nodes);
+    std::erase_if(applicants_, [&](const auto& node) { return nodes.count(node) > 0; });
+    std::erase_if(nodes,
+                  [&](const auto& node) { return now - allocator_.heard(node).value_or(lends_since_) > forgotten; });
+    for (const auto& node : applicants_)
+        if (nodes.size() < most_nodes) nodes.insert(node);
+    auto state = replica_.entry()->state;
+    state.lease_holders.assign(nodes.begin(), nodes.end());
+    if (state != replica_.entry()->state) replica_.propose(std::move(state), now);
+}
+
 void LendingService::check_invariant() {
     const auto violated = allocator_.violated_invariant();
     if (!violated) return;
--- a/src/roles/control/lending_service.hpp
+++ b/src/roles/control/lending_service.hpp
@@ -1,9 +1,13 @@
 // Lends the tenants' limits to the proxies while this node leads, and only then.
 //
 // Two leaders never lend at a time: one lends only while a majority has answered a round that it sent within the
-// authority of LeaseTerms, and begins only when so much time has passed since it was elected.
+// authority of LeaseTerms, and begins only when so much time has passed since those who elected it answered an earlier
+// one. The names of the nodes that
+// may hold leases are part of the replicated state: a node is lent nothing before its name is committed, so the next
+// leader knows of whom it has to hear.
 #pragma once
 #include <optional>
+#include <set>
 #include <string>
 
 #include "consensus/replica.hpp"
@@ -13,7 +17,7 @@
 
 class LendingService {
 public:
-    LendingService(const consensus::Replica& replica, leases::LimitRule rule) : replica_(replica), allocator_(rule) {}
+    LendingService(consensus::Replica& replica, leases::LimitRule rule) : replica_(replica), allocator_(rule) {}
 
     // The configuration that is committed, as the operator sent it.
     void configured(const std::string& body);
@@ -30,19 +34,23 @@
 private:
     void follow_leadership(Time now);
     bool may_lend(Time now) const;
-    leases::Allocator::Before predecessors(Time now) const;
+    bool is_settled() const;   // what this leader knows as its state is committed
+    std::set<std::string> committed_nodes() const;
+    void change_nodes(Time now);
     void check_invariant();
 
-    const consensus::Replica& replica_;
+    consensus::Replica& replica_;
     leases::Allocator allocator_;
     leases::LeaseTerms terms_;
     std::optional<std::string> configuration_;   // whose limits the allocator has yet to be told
-    // The leaders as this node has seen them.
+    // Of the leader, as this node has seen it.
     struct Reign {
         uint64_t term = 0;
         Time since = long_ago;
     };
-    Reign reign_, reign_before_;
+    Reign reign_;
+    Time lends_since_ = long_ago;
+    std::set<std::string> applicants_;   // nodes that have asked and are not admitted yet
     bool lends_ = false;
     uint64_t violations_ = 0;
     std::string last_violation_;
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -11,6 +11,7 @@
 constexpr Span fleet_every{0.25}, proxies_every{0.25}, hosts_every{1};
 constexpr Span barrier_again{0.2};   // a barrier that has not held by then is asked for again
 constexpr size_t most_known = 64;    // control nodes
+constexpr size_t most_waiting_asks = 4096;
 constexpr std::string_view instances = "/instances/";
 
 }   // namespace
@@ -206,11 +207,19 @@
             outputs_.push_back(ToPeer{from->second.peer, std::move(*reply)});
         else
             outputs_.push_back(ToLink{link, std::move(*reply)});
-    } else if (from == links_.end() && replica_.leader() && *replica_.leader() != replica_.self()) {
+    } else if (replica_.role() == consensus::Role::leader) {
+        if (waiting_asks_.size() < most_waiting_asks) waiting_asks_.emplace_back(link, ask);
+    } else if (from == links_.end() && replica_.leader()) {
         outputs_.push_back(ToPeer{replica_.leader()->endpoint, ask});
     }
 }
 
+// Those that came before this node lent, or before their senders were admitted.
+void Node::answer_waiting_asks(Time now) {
+    if (replica_.role() == consensus::Role::leader && !lending_.lends()) return;
+    for (const auto& [link, ask] : std::exchange(waiting_asks_, {})) handle(link, ask, now);
+}
+
 void Node::handle(LinkNumber, const leases::LeaseReply& reply, Time) {
     if (const auto link = proxies_.link_of(reply.holder.node)) outputs_.push_back(ToLink{*link, reply});
 }
@@ -337,6 +346,7 @@
     proxies_.tick(now);
     tell_configuration();
     lending_.tick(now);
+    answer_waiting_asks(now);
     begin_subscriptions(now);
     if (now >= proxies_at_) {
         proxies_at_ = now + proxies_every;
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -83,6 +83,7 @@
 
     void configuration_request(const HttpRequest& request, Time now);
     void instance_request(const HttpRequest& request, Time now);
+    void answer_waiting_asks(Time now);
     void tell_all(const messages::Message& message);
     void tell_hosts(const std::vector<registry::Host>& hosts);
     void tell_fleet(LinkNumber link, const std::vector<std::string>& names, bool with_controls, Time now);
@@ -108,6 +109,7 @@
     HostService hosts_;
     LendingService lending_;
     ProxyDirectory proxies_;
+    std::vector<std::pair<LinkNumber, leases::LeaseAsk>> waiting_asks_;   // until this node lends
     std::map<Endpoint, messages::ControlNode> known_;   // control nodes, by peer endpoint; not this one
     std::map<LinkNumber, Link> links_;                  // of other control nodes
     std::string told_configuration_;                    // the last that was committed here
--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -42,6 +42,13 @@
     return told > 0 ? told : tenant.uncached_tokens;
 }
 
+// How long a request waits for units: served then, it is still in time.
+Span patience_for(const configuration::Route& route) {
+    constexpr double waited_part = 0.4;   // of the latency that is aimed at
+    constexpr Span least{0.05}, most{0.3};
+    return std::clamp(route.target_latency * waited_part, least, most);
+}
+
 std::string_view presented_key(const std::vector<Field>& fields) {
     auto value = field_value(fields, "Authorization");
     constexpr std::string_view scheme = "Token ";
@@ -56,7 +63,7 @@
     : context_(std::move(settings), home, seed),
       reread_(std::move(reread)),
       table_({}),
-      leases_({context_.settings.node_name, seed}, {}),
+      leases_({context_.settings.node_name, seed}, {}, context_.started),
       quota_report_(context_.metrics, [](const std::string& line) { log_info() << line; }),
       front_(context_, {[this](Client& client, RequestReader& reader) { arrived(client, reader); },
                         [this](Request& request) { client_left(request); },
@@ -94,6 +101,7 @@
                                [this](const leases::LeaseReply& reply) {
                                    leases_.apply(reply, context_.home.now());
                                    lease_decisions();
+                                   if (reply.confirm) ask_for_leases();
                                },
                                [this](bool is_up) {
                                    leases_.connected(is_up);
@@ -198,7 +206,8 @@
 leases::Decision Proxy::limit(const Request& request) {
     if (!request.tenant || request.tenant->rate_per_second <= 0) return {};
     const auto& tenant = *request.tenant;
-    const auto decision = leases_.request(tenant.name, cost_of(request), request.id, context_.home.now());
+    const auto decision =
+        leases_.request(tenant.name, cost_of(request), request.id, patience_for(*request.route), context_.home.now());
     if (decision.verdict == leases::Verdict::granted) quota_report_.note_granted(tenant.name, cost_of(request));
     return decision;
 }
@@ -374,6 +383,11 @@
 }
 
 void Proxy::fleet_told(const messages::FleetTold& told) {
+    if (told.current && !std::exchange(control_current_, told.current)) {
+        leases_.hurry();   // there is a leader again
+        ask_for_leases();
+    }
+    control_current_ = told.current;
     context_.proxies = told.proxies;
     context_.fleet_size.told(told.proxies, context_.now());
     quota_report_.fleet_told(told, context_.now());
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -88,6 +88,7 @@
     Invariant &held_bytes_cover_bodies_, &used_units_were_lent_;
     memory::Connection* signals_ = nullptr;
     bool hosts_known_ = false;
+    bool control_current_ = false;   // the control node that this proxy hears is in touch with a leader
     enum class Phase { serving, leaving, closing, over } phase_ = Phase::serving;
     Time stopped_at_;
 };
