A new allocator hears of all before it refuses; a shortage's retry comes after a second

Cause: after a start of everything the first replies refused what waited, before the idle time was credited, and clients came back after 0.3 s to be refused once more. Change: until it has heard of all, or for 0.6 s, an allocator asks its holders to ask again soon, and requests wait on within their patience; lending begins with the commit that settles it.

--- a/src/lab/control/callers.cpp
+++ b/src/lab/control/callers.cpp
@@ -14,7 +14,7 @@
 constexpr int most_tries = 14, most_redirects = 2;
 constexpr double invalid_share = 0.06, reading_share = 0.25;
 constexpr Span beat_every{1.2}, serves_on{2};
-constexpr Span proxy_tick{0.2};
+constexpr Span proxy_tick{0.2}, proxy_hurry{0.05};
 constexpr Span lease_patience{0.2};   // of a request that waits for units
 
 std::string document(uint64_t version, uint64_t salt, const std::string& tenants) {
@@ -384,7 +384,10 @@
     } else if (const auto* reply = std::get_if<leases::LeaseReply>(&message)) {
         leases_->apply(*reply, queue_.now());
         lease_decisions();
-        if (reply->confirm) ask_for_leases();
+        if (reply->confirm)
+            queue_.in(proxy_hurry, [this, life = life_] {
+                if (life == life_ && runs()) do_or_wait([this] { ask_for_leases(); });
+            });
     } else if (const auto* hosts = std::get_if<messages::HostsTold>(&message)) {
         knows_hosts_ = true;
         for (const auto& host : hosts->hosts) hosts_.merge(host, queue_.now());
--- a/src/leases/allocator.cpp
+++ b/src/leases/allocator.cpp
@@ -11,6 +11,7 @@
 constexpr double rounding = 1e-6;   // of the depth
 constexpr double scarce = 0.5;   // of what may be in the pool and lent: below it the limit binds, if all is asked for
 constexpr double nearly_all = 0.95;      // of the fill
+constexpr Span settles_within{0.6};      // all that run have asked by then
 constexpr Span most_idle{8};             // that is credited at the beginning
 constexpr Span held_for{2};              // of its demand, a holder has at the most
 constexpr double threshold_part = 0.2;   // of a holder's target
@@ -195,7 +196,8 @@
 
     auto names = std::exchange(holder.tenants, {});
     for (const auto& [name, told] : ask.tenants) names.insert(name);
-    LeaseReply reply{ask.holder, ask.number, term_, !holder.proven, {}};
+    const bool settles = !knows_all() && now - began_ < settles_within;
+    LeaseReply reply{ask.holder, ask.number, term_, !holder.proven || settles, {}};
     for (const auto& name : names) {
         const auto known = tenants_.find(name);
         if (known == tenants_.end()) continue;
--- a/src/leases/holder.cpp
+++ b/src/leases/holder.cpp
@@ -10,6 +10,7 @@
 
 constexpr Span averaged{2};                                // demand
 constexpr Span ask_every{0.25}, ask_unchanged{0.5};        // the latter: nothing was used since
+constexpr Span hurry_every{0.04};                          // where more asks are wanted at once
 constexpr Span supersede_after{0.03};                      // by an ask for requests that wait: the reply is late
 constexpr Span most_reply_within{0.8};                     // that an unanswered ask is waited for
 constexpr double longer = 1.5;                             // each time that none has come
@@ -19,6 +20,7 @@
 constexpr double much_more = 1.1;                          // than the target: then the rest is returned
 constexpr double hopeless = 1.5;                           // overload at which coming back soon is of no use
 constexpr Span allocator_within{1.6};   // of the last reply, or the start: where there is another one, it has begun
+constexpr Span shortage{1};             // that passes by itself
 constexpr Span soon{0.3}, late{5};      // when to come back
 constexpr double rounding = 1e-6;
 
@@ -82,8 +84,8 @@
             const Span begins = std::max(Span{}, lease.gather_from - now);
             retry_after = std::min(retry_after, std::max(soon, begins + Span{lacking / lease.lent.reserve}));
         }
-    } else if (lease.lent.overload > hopeless) {
-        retry_after = late;
+    } else {
+        retry_after = lease.lent.overload > hopeless ? late : shortage;
     }
     return {Verdict::refused, cause, retry_after};
 }
@@ -195,6 +197,7 @@
     if (asked_at_ > long_ago &&
         now - asked_at_ < (urgent || ask_at_once_ ? std::min(supersede_after, reply_within_) : reply_within_))
         return {};
+    if (ask_at_once_ && now - last_ask_ < hurry_every) return {};
     if (!urgent && !ask_at_once_ && now - last_ask_ < (changed ? ask_every : ask_unchanged)) return {};
     ask_at_once_ = false;
     LeaseAsk ask{id_, ++number_, applied_, applied_term_, (now - started_).s, {}};
@@ -227,8 +230,12 @@
         lease.gather_until = sent + terms_.reserve;
         if (now < lease.held_until) gain(lease.held, lent.granted);
     }
-    for (auto& [name, lease] : leases_)
-        if (!lease.waiting.empty()) decide_waiting(lease, true, now);
+    for (auto& [name, lease] : leases_) {
+        if (lease.waiting.empty()) continue;
+        decide_waiting(lease, !reply.confirm, now);
+        if (reply.confirm)
+            for (auto& waiting : lease.waiting) waiting.asked_with = 0;   // it is to be named again
+    }
     find_next_deadline();
 }
 
--- a/src/leases/holder.hpp
+++ b/src/leases/holder.hpp
@@ -43,6 +43,7 @@
     void connected(bool is_up);
     // There may be another allocator, or it wants to hear again: the next ask is due.
     void hurry() { ask_at_once_ = true; }
+    bool hurries() const { return ask_at_once_; }
     // The next ask, where one is due. It counts as sent: at most one is under way.
     std::optional<LeaseAsk> ask(Time now);
     void apply(const LeaseReply& reply, Time now);
--- a/src/leases/lease.hpp
+++ b/src/leases/lease.hpp
@@ -65,7 +65,7 @@
     HolderId holder;
     uint64_t number = 0;    // of the ask
     uint64_t term = 0;      // of the allocator
-    bool confirm = false;   // another ask is wanted at once: this one has not proven that the holder lives
+    bool confirm = false;   // another ask is wanted soon: the allocator has yet to hear of all
     std::map<std::string, LentLease> tenants;
     bool operator==(const LeaseReply&) const = default;
 };
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -280,8 +280,7 @@
             else if (const auto* persist = std::get_if<consensus::Persist>(&output))
                 write(*persist);
             else if (const auto* committed = std::get_if<consensus::Committed>(&output))
-                tell_configuration(), begin_subscriptions(now),
-                    configurations_.committed(committed->position.index, now);
+                committed_here(*committed, now);
             else if (const auto* barrier = std::get_if<consensus::BarrierPassed>(&output))
                 barrier_passed(*barrier, now);
             else if (!std::get<consensus::LeadershipChanged>(output).leads)
@@ -289,6 +288,18 @@
         }
 }
 
+void Node::committed_here(const consensus::Committed& committed, Time now) {
+    tell_configuration();
+    begin_subscriptions(now);
+    configurations_.committed(committed.position.index, now);
+    lend(now);
+}
+
+void Node::lend(Time now) {
+    lending_.tick(now);
+    answer_waiting_asks(now);
+}
+
 void Node::barrier_passed(const consensus::BarrierPassed& passed, Time now) {
     if (passed.number != barrier_) return configurations_.barrier_passed(passed.number, now);
     barrier_ = 0;
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -83,6 +83,8 @@
 
     void configuration_request(const HttpRequest& request, Time now);
     void instance_request(const HttpRequest& request, Time now);
+    void committed_here(const consensus::Committed& committed, Time now);
+    void lend(Time now);   // where this node leads
     void answer_waiting_asks(Time now);
     void tell_all(const messages::Message& message);
     void tell_hosts(const std::vector<registry::Host>& hosts);
--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -17,6 +17,7 @@
 constexpr Span on_its_way{0.3};      // what clients sent before they saw their connection end is taken until then
 constexpr Span kept_back{0.6};       // before the end of the grace: the last answers are written
 constexpr Span refused_again{0.2};
+constexpr Span hurry_every{0.05};   // asks for leases that are wanted soon
 constexpr double rounding = 1e-9;
 constexpr double answer_margin = 0.01;   // of the time left, so that an answer still reaches the client
 
@@ -101,7 +102,6 @@
                                [this](const leases::LeaseReply& reply) {
                                    leases_.apply(reply, context_.home.now());
                                    lease_decisions();
-                                   if (reply.confirm) ask_for_leases();
                                },
                                [this](bool is_up) {
                                    leases_.connected(is_up);
@@ -236,6 +236,7 @@
 
 void Proxy::ask_for_leases() {
     if (const auto ask = leases_.ask(context_.home.now())) subscription_.ask(*ask);
+    if (leases_.hurries()) context_.loop.wake(context_.now() + hurry_every, leases_cookie);
 }
 
 void Proxy::lease_decisions() {
@@ -250,7 +251,7 @@
         turn_away(*std::exchange(request->client, nullptr), *request, decided.decision);
         forget_if_over(*request);
     }
-    if (leases_.has_waiting()) wait_for_leases();
+    if (leases_.has_waiting() || leases_.hurries()) wait_for_leases();
 }
 
 void Proxy::client_left(Request& request) {
