Settings: advertise.address, where others reach a machine

Cause: processes told each other their own addresses, so a machine could not stand behind a relay or a translated address, and cuts between real processes could not be played.

Change: an optional key, checked like the others; control nodes tell it for their internal and control ports, compare it with the seeds, and a proxy knows its own machine by it. Without the key nothing changes.

--- a/src/configuration/node_settings.cpp
+++ b/src/configuration/node_settings.cpp
@@ -123,6 +123,12 @@
     if (value.empty()) return;
     settings.metrics = parse_metrics_address(value);
     if (!settings.metrics) reader.report("metrics", "must be a port and a path, PORT/PATH, not '" + value + "'");
+std::optional<std::string> read_advertised_address(Reader& reader) {
+    constexpr const char* key = "advertise.address";
+    const auto address = reader.text(key, false);
+    if (address.empty()) return {};
+    if (!parse_endpoint(address + ":1")) reader.report(key, "must be an IPv4 address, not '" + address + "'");
+    return address;
 }
 
 void read_seeds(Reader& reader, NodeSettings& settings) {
@@ -144,6 +150,7 @@
     NodeSettings settings;
     settings.node_name = reader.text("nodeName", true);
     settings.address = reader.text("ip", true);
+    settings.advertised_address = read_advertised_address(reader);
     settings.zone = reader.text("zone", true);
     settings.front = reader.endpoint("listen.front");
     settings.ready = reader.endpoint("listen.ready");
--- a/src/configuration/node_settings.hpp
+++ b/src/configuration/node_settings.hpp
@@ -24,7 +24,8 @@
 
 struct NodeSettings {
     std::string node_name;
-    std::string address;   // of this machine
+    std::string address;                             // of this machine: where its processes listen
+    std::optional<std::string> advertised_address;   // where others reach its internal and control ports, if elsewhere
     std::string zone;
     std::optional<Endpoint> front;           // where clients connect
     std::optional<Endpoint> ready;           // where the platform asks for readiness
@@ -49,6 +50,9 @@
     Span quota_window{8};
     double quota_over = 0;    // tolerated share above a tenant's quota
     double quota_slack = 0;   // tokens that all proxies together may use beyond it
+
+    // The address that others are told.
+    const std::string& reached_at() const { return advertised_address ? *advertised_address : address; }
 };
 
 // Reads settings; `file` names them in findings.
--- a/src/roles/control/start.cpp
+++ b/src/roles/control/start.cpp
@@ -10,7 +10,9 @@
 
 NodeOptions node_options(const configuration::NodeSettings& settings, uint64_t seed) {
     NodeOptions options;
-    options.self = {peer_endpoint(settings, settings.address), *settings.control, settings.zone};
+    auto control = *settings.control;
+    if (settings.advertised_address) control.address = *settings.advertised_address;
+    options.self = {peer_endpoint(settings, settings.reached_at()), control, settings.zone};
     for (const auto& seed : settings.seeds) options.seeds.push_back({peer_endpoint(settings, seed.address), seed, ""});
     options.may_vote = options.replica.counts = settings.counts_for_quorum;
     options.replica.least_voters = 2 * static_cast<size_t>(settings.tolerated_machines) + 1;
@@ -25,7 +27,7 @@
 // The first start of the whole system: the seeds are the voters, and all of them begin with the same entry.
 StoredState first_state(const configuration::NodeSettings& settings, uint64_t fresh_disk) {
     StoredState state;
-    const auto self = peer_endpoint(settings, settings.address);
+    const auto self = peer_endpoint(settings, settings.reached_at());
     consensus::ClusterState cluster;
     for (const auto& seed : settings.seeds) cluster.voters.push_back({peer_endpoint(settings, seed.address), 0});
     std::sort(cluster.voters.begin(), cluster.voters.end());
--- a/src/roles/proxy/subscription.cpp
+++ b/src/roles/proxy/subscription.cpp
@@ -28,7 +28,7 @@
     : context_(context),
       events_(std::move(events)),
       subscriber_(
-          {context.settings.node_name, context.settings.address, context.settings.zone, context.chance.next()}) {
+          {context.settings.node_name, context.settings.reached_at(), context.settings.zone, context.chance.next()}) {
     add_seeds();
 }
 
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -62,6 +62,18 @@
         CHECK(one_line(std::get<1>(checked)) ==
               "f:10: metrics must be a port and a path, PORT/PATH, not '" + value + "'");
     }
+TEST_CASE("a machine is reached at the address that it advertises, else at its own") {
+    const auto own = read_node_settings(sound_settings, "f");
+    REQUIRE(own.index() == 0);
+    CHECK(std::get<0>(own).reached_at() == "10.1.0.3");
+    const auto relayed = read_node_settings(sound_settings + "advertise.address=10.9.0.1\n", "f");
+    REQUIRE(relayed.index() == 0);
+    CHECK(std::get<0>(relayed).address == "10.1.0.3");
+    CHECK(std::get<0>(relayed).reached_at() == "10.9.0.1");
+    const auto unsound = read_node_settings(sound_settings + "advertise.address=nowhere\n", "f");
+    REQUIRE(unsound.index() == 1);
+    CHECK(one_line(std::get<1>(unsound)).find("advertise.address must be an IPv4 address, not 'nowhere'") !=
+          std::string::npos);
 }
 
 TEST_CASE("all faults of a settings file are told at once, each with its line and key") {
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "roles/control/node.hpp"
+#include "roles/control/start.hpp"
 
 using namespace myrtleroute;
 using namespace myrtleroute::control;
@@ -380,4 +381,18 @@
     const auto state = control.node->state(control.now);
     CHECK_FALSE(state.leads);
     CHECK_FALSE(state.is_current);
+TEST_CASE("a seed that is behind a relay finds itself among the seeds by the address that it advertises") {
+    configuration::NodeSettings settings;
+    settings.address = "10.1.0.3";
+    settings.advertised_address = "10.9.0.3";
+    settings.control = Endpoint{"10.1.0.3", 8367};
+    settings.first_internal_port = 7500;
+    settings.seeds = {{"10.9.0.3", 8367}, {"10.9.0.4", 8367}};
+    settings.bootstrap = true;
+    const auto self = node_options(settings, 1).self;
+    CHECK(self.peer.text() == "10.9.0.3:7500");
+    CHECK(self.control.text() == "10.9.0.3:8367");
+    const auto state = stored_state({}, settings, 1);
+    REQUIRE(state.entry);
+    CHECK(state.entry->state.voters.front().endpoint == self.peer);
 }
