Soak: real processes under random faults, with the invariants on

Change: myrtleroute_soak starts control and proxy processes on loopback addresses, with relays before the control nodes, stand-in hosts, clients of four tenants and an operator that moves limits. Kills, pauses, cuts of either side, lost answers, SIGTERM and a lost disk are drawn from a seed, two or three at a time.

--- /dev/null
+++ b/src/soak/checker.cpp
@@ -0,0 +1,159 @@
+#include "soak/checker.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <set>
+#include <sstream>
+
+#include "wire/text.hpp"
+
+namespace myrtleroute::soak {
+namespace {
+
+constexpr double never = 1e18;
+constexpr size_t most_violations = 200;   // told of one run
+
+bool is_success(int status) { return status >= 200 && status < 300; }
+
+// Statuses that promise that a request has not run and never will.
+bool promises_not_run(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
+
+}   // namespace
+
+const char* name_of(Rule rule) {
+    constexpr const char* names[] = {"QUOTA",  "TWICE", "REFUSED", "MIXED",   "UNASKED", "ORDER",
+                                     "CONFIG", "LOST",  "RECOVER", "OWN END", "COUNTER"};
+    static_assert(std::size(names) == static_cast<size_t>(Rule::kinds));
+    return names[static_cast<size_t>(rule)];
+}
+
+void Checker::report(Rule rule, double now, std::string text) {
+    if (violations_.size() < most_violations) violations_.push_back({rule, now, std::move(text)});
+}
+
+void Checker::sent(const Sent& request, double now) {
+    by_id_[request.id] = requests_.size();
+    requests_.push_back({request, now, 0, {}, 0});
+}
+
+void Checker::ran(const std::string& id, const std::string& tenant, double now) {
+    const auto known = by_id_.find(id);
+    if (known == by_id_.end()) return report(Rule::unasked, now, "a host ran '" + id + "', which no client sent");
+    auto& request = requests_[known->second];
+    request.runs.push_back(now);
+    if (tenant != request.sent.tenant)
+        report(Rule::unasked, now, id + " of " + request.sent.tenant + " ran as one of '" + tenant + "'");
+    if (request.runs.size() > 1 && !request.sent.repeatable) report(Rule::twice, now, id + " ran again");
+}
+
+void Checker::got(const std::string& id, const Got& answer, double now) {
+    auto& request = requests_[by_id_.at(id)];
+    request.status = answer.status;
+    request.answered_at = now;
+    if (!is_success(answer.status)) return;
+    ++served_;
+    const std::string of = " answer of " + id;
+    if (!answer.signed_by_host) report(Rule::mixed, now, "no host's signature in the" + of);
+    if (answer.id != id) report(Rule::mixed, now, "'" + answer.id + "' is the id in the" + of);
+    if (!answer.body_sound) report(Rule::mixed, now, "another body than the host's in the" + of);
+    if (request.runs.empty()) report(Rule::mixed, now, "no host ran what led to the" + of);
+}
+
+void Checker::configuration_sent(uint64_t version, const Limits& limits, double now) {
+    versions_.push_back({version, limits, now, {}});
+}
+
+void Checker::configuration_in_force(uint64_t version, double in_force) {
+    for (auto& known : versions_)
+        if (known.number == version) known.in_force = in_force;
+}
+
+// A limit ends as soon as a later version must be in force everywhere.
+std::vector<QuotaLimit> Checker::limits_of(const std::string& tenant) const {
+    std::vector<QuotaLimit> limits;
+    double until = never;
+    for (auto version = versions_.rbegin(); version != versions_.rend(); ++version) {
+        if (const auto limit = version->limits.find(tenant); limit != version->limits.end())
+            limits.push_back({limit->second.rate, limit->second.burst, version->from, until});
+        until = std::min(until, version->in_force.value_or(never));
+    }
+    return limits;
+}
+
+void Checker::judge_quota(const std::string& tenant) {
+    std::vector<QuotaUse> uses;
+    for (const auto& request : requests_)
+        if (request.sent.tenant == tenant && !request.runs.empty())
+            uses.push_back({request.sent_at, request.runs.front(), request.sent.cost});
+    const auto peak = peaks_[tenant] = peak_use(uses, limits_of(tenant), bounds_);
+    if (!peak.broken()) return;
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(0) << tenant << " was granted " << peak.granted << " in " << bounds_.window
+         << " s from " << std::setprecision(3) << peak.from << " on, " << std::setprecision(0) << peak.allowed
+         << " were allowed (" << std::setprecision(1) << (peak.share() - 1) * 100 << "% over)";
+    report(Rule::quota, peak.from, text.str());
+}
+
+void Checker::judge_refused(const Request& request) {
+    if (request.sent.repeatable || request.runs.empty() || !promises_not_run(request.status)) return;
+    report(Rule::refused, request.answered_at,
+           request.sent.id + " was answered " + std::to_string(request.status) + " and has run");
+}
+
+void Checker::finish() {
+    std::set<std::string> tenants;
+    for (const auto& request : requests_) {
+        tenants.insert(request.sent.tenant);
+        judge_refused(request);
+    }
+    for (const auto& tenant : tenants) judge_quota(tenant);
+}
+
+std::optional<double> Checker::served_share(const std::string& tenant, double from, double until, size_t least) const {
+    size_t sent = 0, served = 0;
+    for (auto request = requests_.rbegin(); request != requests_.rend() && request->sent_at >= from; ++request) {
+        if (request->sent_at > until || request->sent.tenant != tenant) continue;
+        ++sent;
+        served += is_success(request->status);
+    }
+    if (sent < least) return {};
+    return static_cast<double>(served) / static_cast<double>(sent);
+}
+
+std::string Checker::requests_text() const {
+    std::ostringstream text;
+    text << "id,tenant,cost,repeatable,sent,runs,answered,status\n" << std::fixed << std::setprecision(4);
+    for (const auto& request : requests_) {
+        text << request.sent.id << ',' << request.sent.tenant << ',' << request.sent.cost << ','
+             << request.sent.repeatable << ',' << request.sent_at << ',';
+        for (const double run : request.runs) text << run << ' ';
+        text << ',' << request.answered_at << ',' << request.status << '\n';
+    }
+    return text.str();
+}
+
+std::vector<std::string> violated_counters(const std::string& metrics) {
+    constexpr std::string_view ending = "_violations_total";
+    std::vector<std::string> violated;
+    std::istringstream lines(metrics);
+    for (std::string line; std::getline(lines, line);) {
+        const auto space = line.rfind(' ');
+        const auto name = std::string_view(line).substr(0, std::min(line.find('{'), space));
+        if (line.starts_with('#') || space == line.npos || !name.ends_with(ending)) continue;
+        if (wire::decimal(wire::trim(std::string_view(line).substr(space))).value_or(1) > 0) violated.push_back(line);
+    }
+    return violated;
+}
+
+std::optional<double> calm_since(const std::vector<std::pair<double, double>>& troubles, double after, double calm,
+                                 double until) {
+    auto sorted = troubles;
+    std::sort(sorted.begin(), sorted.end());
+    double moment = after;
+    for (const auto& [begin, end] : sorted)
+        if (begin < moment && moment < end + calm) moment = end + calm;
+    if (moment >= until) return {};
+    return moment;
+}
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/checker.hpp
@@ -0,0 +1,106 @@
+// What must hold of a run, whatever fails: judged by what clients, hosts and the operator have seen on their sockets.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "soak/quota_check.hpp"
+
+namespace myrtleroute::soak {
+
+// The rule that was broken, as its name stands in reports.
+enum class Rule { quota, twice, refused, mixed, unasked, order, configuration, lost, recover, own_end, counter, kinds };
+const char* name_of(Rule rule);
+
+struct Violation {
+    Rule rule = Rule::quota;
+    double at = 0;   // seconds of the run
+    std::string text;
+};
+
+// What a client sends.
+struct Sent {
+    std::string id;   // X-Request-Id
+    std::string tenant;
+    double cost = 0;
+    bool repeatable = false;   // may run more than once
+};
+
+// What a client has got for it.
+struct Got {
+    int status = 0;   // 0: no answer, or not a whole one
+    std::string id;   // X-Request-Id of the answer
+    bool signed_by_host = false;
+    bool body_sound = false;   // the whole of what a host sends for this request
+};
+
+// A limit of a tenant, as the operator sets it.
+struct TenantLimit {
+    double rate = 0, burst = 0;
+    bool operator==(const TenantLimit&) const = default;
+};
+using Limits = std::map<std::string, TenantLimit>;   // by tenant
+
+// Counts and judges. Everything is told with its time, in seconds of the run.
+class Checker {
+public:
+    explicit Checker(QuotaBounds bounds) : bounds_(bounds) {}
+
+    void sent(const Sent& request, double now);
+    void ran(const std::string& id, const std::string& tenant, double now);
+    void got(const std::string& id, const Got& answer, double now);
+
+    void configuration_sent(uint64_t version, const Limits& limits, double now);
+    // From `in_force` on every proxy must have it; unset: not known to be so before the run ends.
+    void configuration_in_force(uint64_t version, double in_force);
+
+    void report(Rule rule, double now, std::string text);
+
+    // Judges what can only be judged when the run is over. Tenants' highest use is kept in `peaks`.
+    void finish();
+
+    const std::vector<Violation>& violations() const { return violations_; }
+    const std::map<std::string, QuotaPeak>& peaks() const { return peaks_; }
+    // Share of a tenant's requests sent in a span that were served; nothing where fewer than `least` were sent.
+    std::optional<double> served_share(const std::string& tenant, double from, double until, size_t least) const;
+    std::string requests_text() const;   // a line of comma-separated values for each request
+    size_t requests() const { return requests_.size(); }
+    size_t served() const { return served_; }
+
+private:
+    struct Request {
+        Sent sent;
+        double sent_at = 0, answered_at = 0;
+        std::vector<double> runs;
+        int status = 0;
+    };
+    struct Version {
+        uint64_t number = 0;
+        Limits limits;
+        double from = 0;
+        std::optional<double> in_force;
+    };
+    std::vector<QuotaLimit> limits_of(const std::string& tenant) const;
+    void judge_quota(const std::string& tenant);
+    void judge_refused(const Request& request);
+
+    QuotaBounds bounds_;
+    std::vector<Request> requests_;   // in the order of their sending
+    std::map<std::string, size_t> by_id_;
+    std::vector<Version> versions_;
+    std::vector<Violation> violations_;
+    std::map<std::string, QuotaPeak> peaks_;
+    size_t served_ = 0;
+};
+
+// Names of counters in a metrics text (lines `name{labels} value`) that end in `_violations_total` and are above 0.
+std::vector<std::string> violated_counters(const std::string& metrics);
+
+// The first moment, not before `after`, at which nothing has been in trouble for `calm` seconds; troubles are spans of
+// begin and end. Nothing where that is not before `until`.
+std::optional<double> calm_since(const std::vector<std::pair<double, double>>& troubles, double after, double calm,
+                                 double until);
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/clients.cpp
@@ -0,0 +1,138 @@
+#include "soak/clients.hpp"
+
+#include <cstdio>
+#include <iterator>
+
+#include "soak/hosts.hpp"
+
+namespace myrtleroute::soak {
+namespace {
+
+constexpr int misses_until_out = 2;
+constexpr double least_prompt = 200, mean_prompt = 1000;   // tokens; a prompt is longer than the least by a random part
+constexpr double least_output = 20, most_output = 200;
+constexpr double mean_cost = least_prompt + mean_prompt + (least_output + most_output) / 2;
+constexpr double jumps[] = {0.3, 1, 3, 5};                // times the rate
+constexpr double shortest_phase = 4, longest_phase = 8;   // seconds between jumps
+constexpr Span ready_patience{0.9}, client_patience{4};
+constexpr int deadline_ms = 3000;
+
+std::chrono::nanoseconds seconds(double s) {
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(s));
+}
+
+const RouteUse& pick_route(double share) {
+    for (const auto& route : routes) {
+        if (share < route.weight) return route;
+        share -= route.weight;
+    }
+    return routes[0];
+}
+
+std::string new_request_id(lab::Chance& chance) {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(chance.number()));
+    return text;
+}
+
+}   // namespace
+
+const std::vector<Tenant>& tenants() {
+    static const std::vector<Tenant> all{{modest_tenant, "key-modest", {30000, 45000}, 0.5, false, false},
+                                         {"hot", "key-hot", {20000, 30000}, 4, false, false},
+                                         {"jumping", "key-jumping", {20000, 30000}, 1, true, false},
+                                         {"moved", "key-moved", {20000, 30000}, 2, false, true}};
+    return all;
+}
+
+Clients::Clients(asio::io_context& context, Checker& checker, std::vector<ProxyAddresses> proxies, uint64_t seed,
+                 std::function<double()> now)
+    : context_(context), checker_(checker), chance_(seed, 0x636c69), now_(std::move(now)), ready_timer_(context) {
+    for (auto& proxy : proxies) proxies_.push_back({std::move(proxy), chance_.between(0.3, 2), misses_until_out});
+    for (const auto& tenant : tenants()) callers_.push_back({&tenant, tenant.demand, 0, asio::steady_timer(context)});
+}
+
+void Clients::start() {
+    ask_ready();
+    for (auto& caller : callers_) next_request(caller);
+}
+
+void Clients::ask_ready() {
+    for (auto& proxy : proxies_) {
+        const auto text = request_text("GET", "/ready", proxy.at.ready.text(), {{"Connection", "close"}}, "");
+        start_call(context_, {proxy.at.ready, text, ready_patience, {}, [&proxy](const HttpReply& reply) {
+                                  proxy.misses = reply.status == 200 ? 0 : proxy.misses + 1;
+                              }});
+    }
+    ready_timer_.expires_after(std::chrono::seconds(1));
+    ready_timer_.async_wait([this](asio::error_code error) {
+        if (!error) ask_ready();
+    });
+}
+
+// By the weights of those that are in; of all, should none be.
+const Clients::Proxy& Clients::pick_proxy() {
+    const auto is_in = [](const Proxy& proxy) {
+        return proxy.misses < misses_until_out;
+    };
+    const bool some = std::any_of(proxies_.begin(), proxies_.end(), is_in);
+    double sum = 0;
+    for (const auto& proxy : proxies_)
+        if (!some || is_in(proxy)) sum += proxy.weight;
+    double left = chance_.share() * sum;
+    const Proxy* last = &proxies_.front();
+    for (const auto& proxy : proxies_) {
+        if (some && !is_in(proxy)) continue;
+        last = &proxy;
+        left -= proxy.weight;
+        if (left < 0) break;
+    }
+    return *last;
+}
+
+void Clients::next_request(Caller& caller) {
+    if (caller.tenant->jumps && now_() >= caller.drawn_until) {
+        caller.demand = jumps[chance_.below(static_cast<int>(std::size(jumps)))];
+        caller.drawn_until = now_() + chance_.between(shortest_phase, longest_phase);
+    }
+    const double per_second = caller.demand * caller.tenant->limit.rate / mean_cost;
+    caller.timer.expires_after(seconds(chance_.exponential(1 / per_second)));
+    caller.timer.async_wait([this, &caller](asio::error_code error) {
+        if (error) return;
+        send(*caller.tenant);
+        next_request(caller);
+    });
+}
+
+void Clients::send(const Tenant& tenant) {
+    const auto& route = pick_route(chance_.share());
+    const auto id = new_request_id(chance_);
+    const auto prompt = static_cast<int>(least_prompt + chance_.exponential(mean_prompt));
+    const auto output = static_cast<int>(chance_.between(least_output, most_output));
+    const auto& to = pick_proxy().at.front;
+    const Fields fields{{"X-Request-Id", id},
+                        {"X-Deadline-Ms", std::to_string(deadline_ms)},
+                        {"Authorization", "Token " + tenant.key},
+                        {"X-Model", "m"},
+                        {"X-Token-Count", std::to_string(prompt) + "," + std::to_string(output)},
+                        {"X-Prompt-Prefix", id + ":" + std::to_string(prompt)},
+                        {"Connection", "close"}};
+    const Sent sent{id, tenant.name, static_cast<double>(prompt + output), route.repeatable};
+    auto was_sent = std::make_shared<bool>(false);
+    HttpCall call{to, request_text("POST", std::string(route.path) + "x", route_host, fields, "{}"), client_patience,
+                  [this, sent, was_sent] {
+                      *was_sent = true;
+                      checker_.sent(sent, now_());
+                  },
+                  [this, id, was_sent, streams = route.streams](const HttpReply& reply) {
+                      if (!*was_sent) return;
+                      checker_.got(id,
+                                   {reply.status, field_of(reply.fields, "X-Request-Id"),
+                                    !field_of(reply.fields, "X-Server-Signature").empty(),
+                                    is_whole_body(reply.body, id, streams)},
+                                   now_());
+                  }};
+    start_call(context_, std::move(call));
+}
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/clients.hpp
@@ -0,0 +1,80 @@
+// Clients of several tenants: some ask for several times their quota, one jumps now and then. They connect to proxies
+// that are ready, as the platform hands them out, with uneven shares.
+#pragma once
+#include <asio.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "lab/chance.hpp"
+#include "soak/checker.hpp"
+#include "soak/http_call.hpp"
+
+namespace myrtleroute::soak {
+
+struct Tenant {
+    std::string name, key;
+    TenantLimit limit;          // at first
+    double demand = 1;          // times its first rate
+    bool jumps = false;         // its demand is drawn anew every few seconds
+    bool limit_moves = false;   // the operator changes its limit
+};
+
+// One that stays below its quota, and others that don't.
+const std::vector<Tenant>& tenants();
+// The tenant that is always within its quota: what it is refused is no fault of its own.
+constexpr const char* modest_tenant = "modest";
+
+// A route as clients use it and the operator configures it.
+struct RouteUse {
+    const char* path;
+    const char* kind;
+    const char* service;
+    bool repeatable, streams;
+    double weight;
+};
+constexpr RouteUse routes[] = {{"/plain/", "idempotent", "plain", true, false, 0.3},
+                               {"/once/", "non_idempotent", "plain", false, false, 0.3},
+                               {"/stream/", "streaming", "model", false, true, 0.4}};
+constexpr const char* route_host = "soak.example";
+
+// Where a proxy serves.
+struct ProxyAddresses {
+    Endpoint front, ready;
+};
+
+class Clients {
+public:
+    Clients(asio::io_context& context, Checker& checker, std::vector<ProxyAddresses> proxies, uint64_t seed,
+            std::function<double()> now);
+    void start();   // until the io_context ends
+
+private:
+    // The platform's view of a proxy.
+    struct Proxy {
+        ProxyAddresses at;
+        double weight = 1;   // share of the clients whose home it is
+        int misses = 2;      // of /ready in a row; from two on it gets no clients
+    };
+    struct Caller {
+        const Tenant* tenant;
+        double demand;
+        double drawn_until = 0;
+        asio::steady_timer timer;
+    };
+    void ask_ready();
+    void next_request(Caller& caller);
+    void send(const Tenant& tenant);
+    const Proxy& pick_proxy();
+
+    asio::io_context& context_;
+    Checker& checker_;
+    lab::Chance chance_;
+    std::function<double()> now_;
+    std::vector<Proxy> proxies_;
+    std::vector<Caller> callers_;
+    asio::steady_timer ready_timer_;
+};
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/fleet.cpp
@@ -0,0 +1,164 @@
+#include "soak/fleet.hpp"
+
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+
+#include "rig/process.hpp"
+
+namespace myrtleroute::soak {
+namespace {
+
+constexpr double grace = 8;             // seconds from SIGTERM to SIGKILL
+constexpr double restart_after = 0.2;   // of a process that has ended
+constexpr size_t seeds = 3;
+constexpr size_t machine_group = 0, advertised_group = 1, host_group = 2;
+
+std::string role_name(Role role) { return role == Role::control ? "control" : "proxy"; }
+
+}   // namespace
+
+std::string Addresses::at(size_t group, size_t number) const {
+    return "127." + std::to_string(block_) + "." + std::to_string(group) + "." + std::to_string(number + 1);
+}
+std::string Addresses::machine(size_t number) const { return at(machine_group, number); }
+std::string Addresses::advertised(size_t number) const { return at(advertised_group, number); }
+std::string Addresses::host(size_t number) const { return at(host_group, number); }
+Endpoint Addresses::control(size_t machine) const { return {advertised(machine), control_port}; }
+Endpoint Addresses::metrics(Role role, size_t machine) const {
+    return {this->machine(machine), static_cast<uint16_t>(role == Role::control ? 9101 : 9102)};
+}
+
+Fleet::Fleet(FleetOptions options, Addresses addresses, std::function<void(const std::string&)> own_end)
+    : options_(std::move(options)), addresses_(addresses), own_end_(std::move(own_end)) {
+    for (const auto role : {Role::control, Role::proxy}) {
+        const size_t count = role == Role::control ? options_.size.controls : options_.size.proxies;
+        for (size_t machine = 0; machine < count; ++machine) {
+            Process process;
+            process.role = role;
+            process.machine = machine;
+            process.name = role_name(role) + "-" + std::to_string(machine);
+            if (role == Role::control)
+                std::filesystem::create_directories(options_.directory + "/data/" + process.name);
+            processes_.push_back(std::move(process));
+        }
+    }
+}
+
+Fleet::Process& Fleet::process(Role role, size_t machine) {
+    return *std::find_if(processes_.begin(), processes_.end(),
+                         [&](const auto& p) { return p.role == role && p.machine == machine; });
+}
+
+// The file of the process as it stands at this start: only the very first one is a bootstrap.
+std::string Fleet::settings(const Process& process) const {
+    const auto ip = addresses_.machine(process.machine);
+    const auto listen = [&](const char* what, uint16_t port) {
+        return "listen." + std::string(what) + "=" + ip + ":" + std::to_string(port) + "\n";
+    };
+    std::string text = "nodeName=machine-" + std::to_string(process.machine) + "\nip=" + ip +
+                       "\nadvertise.address=" + addresses_.advertised(process.machine) + "\nzone=zone-" +
+                       std::to_string(process.machine % 2) + "\ninternalPorts=7500,7515\nseeds=";
+    for (size_t seed = 0; seed < std::min(seeds, options_.size.controls); ++seed)
+        text += (seed ? "," : "") + addresses_.control(seed).text();
+    const auto metrics = addresses_.metrics(process.role, process.machine);
+    text += "\nmetrics=" + std::to_string(metrics.port) + "/metrics\n";
+    if (process.role == Role::control)
+        text += listen("control", Addresses::control_port) + "dataDir=" + options_.directory + "/data/" + process.name +
+                "\ncountsForQuorum=true\nbootstrap=" + (first_start_ ? "true" : "false") + "\n";
+    else
+        text += listen("front", Addresses::front_port) + listen("ready", Addresses::ready_port);
+    return text + "faultTolerance.machines=1\nlimits.memoryMb=260\nlimits.maxFds=1000\nheartbeatMs=1200\n" +
+           "bounds.contactMs=3000\nbounds.drainMs=2000\nbounds.graceS=8\nbounds.configMs=2000\n" +
+           "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\nbounds.budgetSlack=64\n" +
+           "bounds.quotaWindowS=" + std::to_string(options_.quota_window) +
+           "\nbounds.quotaOver=" + std::to_string(options_.quota_over) +
+           "\nbounds.quotaSlack=" + std::to_string(options_.quota_slack) + "\n";
+}
+
+void Fleet::launch(Process& process) {
+    const auto file = options_.directory + "/" + process.name;
+    std::ofstream(file + ".conf") << settings(process);
+    rig::Start start;
+    start.words = {options_.program, role_name(process.role)};
+    start.variables = {{"MYRTLEROUTE_SETTINGS", file + ".conf"}};
+    start.output = file + ".log";
+    process.pid = std::max<pid_t>(0, rig::start(start));
+    process.told_to_end = false;
+    process.kill_at = 0;
+    if (process.pid && process.pauses > 0) ::kill(process.pid, SIGSTOP);
+}
+
+void Fleet::start() {
+    for (auto& process : processes_) launch(process);
+    first_start_ = false;
+}
+
+void Fleet::tick(double now) {
+    reap(now);
+    for (auto& process : processes_) {
+        if (process.pid && process.kill_at > 0 && now >= process.kill_at) ::kill(process.pid, SIGKILL);
+        if (!process.pid && now >= process.back_at) launch(process);
+    }
+}
+
+void Fleet::reap(double now) {
+    for (auto ended = rig::next_ended(); ended.pid; ended = rig::next_ended()) {
+        const auto process =
+            std::find_if(processes_.begin(), processes_.end(), [&](const auto& p) { return p.pid == ended.pid; });
+        if (process == processes_.end()) continue;
+        const bool as_told = process->told_to_end && (ended.by_signal ? ended.code == SIGKILL : ended.code == 0);
+        if (!as_told)
+            own_end_(process->name + (ended.by_signal ? " was ended by signal " : " ended with status ") +
+                     std::to_string(ended.code));
+        process->pid = 0;
+        process->back_at = std::max(process->back_at, now + restart_after);
+    }
+}
+
+void Fleet::kill(Role role, size_t machine, double back_at) {
+    auto& killed = process(role, machine);
+    killed.back_at = std::max(killed.back_at, back_at);
+    killed.told_to_end = true;
+    if (killed.pid) ::kill(killed.pid, SIGKILL);
+}
+
+void Fleet::stop(Role role, size_t machine, double now) {
+    auto& stopped = process(role, machine);
+    if (!stopped.pid || stopped.told_to_end) return;
+    stopped.told_to_end = true;
+    stopped.kill_at = now + grace;
+    ::kill(stopped.pid, SIGTERM);
+}
+
+void Fleet::pause(Role role, size_t machine, bool pauses) {
+    auto& paused = process(role, machine);
+    paused.pauses += pauses ? 1 : -1;
+    if (paused.pid) ::kill(paused.pid, paused.pauses > 0 ? SIGSTOP : SIGCONT);
+}
+
+// The disk is emptied once nothing writes to it any more.
+void Fleet::wipe(size_t machine, double back_at) {
+    kill(Role::control, machine, back_at);
+    auto& wiped = process(Role::control, machine);
+    if (wiped.pid) ::waitpid(wiped.pid, nullptr, 0);
+    wiped.pid = 0;
+    const auto disk = options_.directory + "/data/" + wiped.name;
+    std::filesystem::remove_all(disk);
+    std::filesystem::create_directories(disk);
+}
+
+void Fleet::end() {
+    for (auto& process : processes_) {
+        if (!process.pid) continue;
+        ::kill(process.pid, SIGKILL);
+        ::waitpid(process.pid, nullptr, 0);
+        process.pid = 0;
+    }
+}
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/fleet.hpp
@@ -0,0 +1,84 @@
+// The processes of the fleet under test: their settings files, starts, pauses and ends. Each process is ended by its id,
+// and with the soak itself, however that ends.
+#pragma once
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.hpp"
+#include "soak/plan.hpp"
+
+namespace myrtleroute::soak {
+
+enum class Role { control, proxy };
+
+// Addresses of a run: everything under 127.BLOCK is its own, so that several runs fit on one machine.
+class Addresses {
+public:
+    Addresses(int block, size_t controls) : block_(block), controls_(controls) {}
+    std::string machine(size_t number) const;      // where its processes listen
+    std::string advertised(size_t number) const;   // where its relays listen
+    std::string host(size_t number) const;         // of a stand-in host
+    Endpoint control(size_t machine) const;        // as hosts and the operator know it
+    Endpoint metrics(Role role, size_t machine) const;
+    size_t controls() const { return controls_; }
+
+    static constexpr uint16_t internal_port = 7500, front_port = 8360, ready_port = 8365, control_port = 8367;
+
+private:
+    std::string at(size_t group, size_t number) const;
+    int block_;
+    size_t controls_;
+};
+
+struct FleetOptions {
+    std::string program;     // myrtlerouted
+    std::string directory;   // for settings, logs and disks
+    FleetSize size;
+    double quota_over = 0.1, quota_slack = 50000, quota_window = 8;
+};
+
+class Fleet {
+public:
+    // `own_end`: a process has ended that nobody was to end.
+    Fleet(FleetOptions options, Addresses addresses, std::function<void(const std::string&)> own_end);
+    ~Fleet() { end(); }
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
+
+    void start();
+    void tick(double now);   // reaps, and starts what is due; every few milliseconds
+    void end();              // kills every process and waits for it
+
+    void kill(Role role, size_t machine, double back_at);   // SIGKILL; started again at `back_at`
+    void stop(Role role, size_t machine, double now);       // SIGTERM, SIGKILL after the grace
+    void pause(Role role, size_t machine, bool pauses);
+    void wipe(size_t machine, double back_at);   // a control node and its disk
+
+private:
+    struct Process {
+        Role role = Role::control;
+        size_t machine = 0;
+        pid_t pid = 0;              // 0: does not run
+        bool told_to_end = false;   // by a signal of the soak's
+        double back_at = 0;         // it does not start before
+        double kill_at = 0;         // where it was told to stop: the end of the grace
+        int pauses = 0;
+        std::string name;
+    };
+    Process& process(Role role, size_t machine);
+    void launch(Process& process);
+    void reap(double now);
+    std::string settings(const Process& process) const;
+
+    FleetOptions options_;
+    Addresses addresses_;
+    std::function<void(const std::string&)> own_end_;
+    std::vector<Process> processes_;
+    bool first_start_ = true;
+};
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/http_call.cpp
@@ -0,0 +1,129 @@
+#include "soak/http_call.hpp"
+
+#include <array>
+#include <memory>
+
+#include "wire/http.hpp"
+#include "wire/text.hpp"
+
+namespace myrtleroute::soak {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr size_t most_answer = 32 << 20;
+
+wire::HttpLimits answer_limits() {
+    wire::HttpLimits limits;
+    limits.body = most_answer;
+    return limits;
+}
+
+// Collects the answer.
+struct ReplyReader : wire::HttpReader {
+    int start(std::string_view, std::string_view code, std::string_view) override {
+        reply.status = wire::whole<int>(code).value_or(0);
+        return 0;
+    }
+    int field(std::string_view name, std::string_view value) override {
+        reply.fields.emplace_back(name, value);
+        return 0;
+    }
+    void body(std::string_view bytes) override { reply.body += bytes; }
+    HttpReply reply;
+};
+
+class Call : public std::enable_shared_from_this<Call> {
+public:
+    Call(asio::io_context& context, HttpCall call)
+        : call_(std::move(call)),
+          socket_(context),
+          timer_(context),
+          http_(wire::HttpMachine::Side::answer, reader_, answer_limits()) {}
+
+    void start() {
+        timer_.expires_after(
+            std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(call_.patience.s)));
+        timer_.async_wait([self = shared_from_this()](asio::error_code error) {
+            if (!error) self->fail("no whole answer in time");
+        });
+        socket_.async_connect(address_of(call_.to), [self = shared_from_this()](asio::error_code error) {
+            error ? self->fail(error.message()) : self->write();
+        });
+    }
+
+private:
+    void write() {
+        if (over_) return;
+        if (call_.on_sending) call_.on_sending();
+        asio::async_write(socket_, asio::buffer(call_.text),
+                          [self = shared_from_this()](asio::error_code error, size_t) {
+                              error ? self->fail(error.message()) : self->read();
+                          });
+    }
+
+    void read() {
+        socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this()](asio::error_code error, size_t n) {
+            self->came(error, {self->buffer_.data(), n});
+        });
+    }
+
+    void came(asio::error_code error, std::string_view bytes) {
+        if (over_) return;
+        http_.feed(bytes);
+        if (error == asio::error::eof) http_.closed();
+        if (http_.done() && !http_.fault()) return end(std::move(reader_.reply));
+        if (error) return fail(error.message());
+        if (http_.fault()) return fail("bytes that are no answer");
+        read();
+    }
+
+    void fail(std::string fault) {
+        HttpReply none;
+        none.fault = std::move(fault);
+        end(std::move(none));
+    }
+
+    void end(HttpReply reply) {
+        if (std::exchange(over_, true)) return;
+        asio::error_code ignored;
+        socket_.close(ignored);
+        timer_.cancel();
+        call_.done(std::move(reply));
+    }
+
+    HttpCall call_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    ReplyReader reader_;
+    wire::HttpMachine http_;
+    std::array<char, 16384> buffer_{};
+    bool over_ = false;
+};
+
+}   // namespace
+
+std::string field_of(const Fields& fields, std::string_view name) {
+    for (const auto& [known, value] : fields)
+        if (wire::same(known, name)) return value;
+    return {};
+}
+
+void start_call(asio::io_context& context, HttpCall call) { std::make_shared<Call>(context, std::move(call))->start(); }
+
+std::string request_text(const std::string& method, const std::string& target, const std::string& host,
+                         const Fields& fields, const std::string& body) {
+    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n";
+    for (const auto& [name, value] : fields) text.append(name).append(": ").append(value).append("\r\n");
+    return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+tcp::endpoint address_of(const Endpoint& endpoint) { return {asio::ip::make_address(endpoint.address), endpoint.port}; }
+
+void reset(tcp::socket& socket) {
+    asio::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/operator.cpp
@@ -0,0 +1,165 @@
+#include "soak/operator.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "soak/clients.hpp"
+
+namespace myrtleroute::soak {
+namespace {
+
+constexpr Span patience{1.5};                           // for an answer
+constexpr double pause = 0.2;                           // seconds before an order is sent again
+constexpr double soonest = 2, latest = 6;               // seconds between changes
+constexpr double least_factor = 0.4, most_factor = 2;   // of a limit that is moved, times the first one
+constexpr int most_redirects = 2;
+constexpr uint64_t most_version_step = 3;
+
+nlohmann::json route_json(const RouteUse& route) {
+    return {{"name", std::string("r-") + route.service + route.kind},
+            {"hostname", route_host},
+            {"pathPrefix", route.path},
+            {"kind", route.kind},
+            {"timeoutMs", 3000},
+            {"targetLatencyMs", 1000},
+            {"priority", 0},
+            {"service", route.service},
+            {"maxAttempts", 2},
+            {"public", false},
+            {"sticky", route.streams},
+            {"resumable", false}};
+}
+
+nlohmann::json service_json(const std::string& name, bool is_engine) {
+    nlohmann::json service{{"name", name}, {"healthCheck", "/health"}, {"maxConnections", 500}, {"protocol", "h1"}};
+    if (is_engine) service["engine"] = {{"capacity", 64}, {"kvCapacityTokens", 1000000}, {"models", {{{"name", "m"}}}}};
+    return service;
+}
+
+nlohmann::json tenant_json(const Tenant& tenant, const TenantLimit& limit) {
+    return {{"name", tenant.name},   {"apiKeys", {tenant.key}}, {"priority", 1},       {"unit", "token_rate"},
+            {"uncachedTokens", 200}, {"ratePerS", limit.rate},  {"burst", limit.burst}};
+}
+
+}   // namespace
+
+std::string configuration_text(uint64_t version, const Limits& limits) {
+    nlohmann::json document{{"version", version},
+                            {"services", {service_json("plain", false), service_json("model", true)}}};
+    for (const auto& route : routes) document["routes"].push_back(route_json(route));
+    for (const auto& tenant : tenants()) document["tenants"].push_back(tenant_json(tenant, limits.at(tenant.name)));
+    return document.dump();
+}
+
+Operator::Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
+                   std::function<double()> now, OperatorEvents events)
+    : context_(context),
+      checker_(checker),
+      controls_(std::move(controls)),
+      chance_(seed, 0x6f7065),
+      now_(std::move(now)),
+      events_(std::move(events)),
+      timer_(context) {
+    for (const auto& tenant : tenants()) limits_[tenant.name] = tenant.limit;
+}
+
+void Operator::start() { change(); }
+
+void Operator::later(double seconds, void (Operator::*what)()) {
+    timer_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(seconds)));
+    timer_.async_wait([this, what](asio::error_code error) {
+        if (!error) (this->*what)();
+    });
+}
+
+size_t Operator::another_control() { return static_cast<size_t>(chance_.below(static_cast<int>(controls_.size()))); }
+
+void Operator::change() {
+    if (stops_) return;
+    for (const auto& tenant : tenants()) {
+        const double factor = chance_.between(least_factor, most_factor);
+        if (tenant.limit_moves && version_)
+            limits_[tenant.name] = {tenant.limit.rate * factor, tenant.limit.burst * factor};
+    }
+    version_ += 1 + static_cast<uint64_t>(chance_.below(static_cast<int>(most_version_step)));
+    bodies_[version_] = configuration_text(version_, limits_);
+    checker_.configuration_sent(version_, limits_, now_());
+    events_.note("configuration " + std::to_string(version_) + " is sent");
+    waits_ = true;
+    send_again();
+}
+
+void Operator::send(size_t control, int redirects) {
+    const auto& to = controls_[control];
+    const auto text =
+        request_text("PUT", "/config", to.text(),
+                     {{"If-Match", std::to_string(acknowledged_)}, {"Connection", "close"}}, bodies_[version_]);
+    start_call(context_, {to, text, patience, {}, [this, redirects](const HttpReply& reply) {
+                              answered(reply, redirects);
+                          }});
+}
+
+// The control node that a 307 names.
+std::optional<size_t> Operator::redirected(const HttpReply& reply) const {
+    if (reply.status != 307) return {};
+    const auto location = field_of(reply.fields, "Location");
+    for (size_t i = 0; i < controls_.size(); ++i)
+        if (location == "http://" + controls_[i].text() + "/config") return i;
+    return {};
+}
+
+void Operator::answered(const HttpReply& reply, int redirects) {
+    if (reply.status == 200) return acknowledged();
+    if (const auto leader = redirected(reply); leader && redirects < most_redirects)
+        return send(*leader, redirects + 1);
+    const bool refused = reply.status >= 400 && reply.status < 500 && reply.status != 408 && reply.status != 429;
+    if (refused) {
+        checker_.report(Rule::configuration, now_(),
+                        "configuration " + std::to_string(version_) + " on top of " + std::to_string(acknowledged_) +
+                            " was refused: " + std::to_string(reply.status) + " " + reply.body);
+        waits_ = false;
+        return;
+    }
+    later(pause, &Operator::send_again);
+}
+
+void Operator::acknowledged() {
+    acknowledged_ = version_;
+    waits_ = false;
+    events_.note("configuration " + std::to_string(version_) + " is acknowledged");
+    events_.acknowledged(version_);
+    later(chance_.between(soonest, latest), &Operator::change);
+}
+
+void Operator::read_back(std::function<void()> done) {
+    stops_ = true;
+    read_done_ = std::move(done);
+    timer_.cancel();
+    read_again();
+}
+
+void Operator::read(size_t control, int redirects) {
+    const auto& to = controls_[control];
+    const auto text = request_text("GET", "/config", to.text(), {{"Connection", "close"}}, "");
+    start_call(context_, {to, text, patience, {}, [this, redirects](const HttpReply& reply) {
+                              const auto leader = redirected(reply);
+                              if (leader && redirects < most_redirects) return read(*leader, redirects + 1);
+                              if (reply.status == 200) return judge_reading(reply);
+                              later(pause, &Operator::read_again);
+                          }});
+}
+
+// What is read must be what was acknowledged last, or what was sent after it.
+void Operator::judge_reading(const HttpReply& reply) {
+    const auto read =
+        std::find_if(bodies_.begin(), bodies_.end(), [&](const auto& known) { return known.second == reply.body; });
+    if (read == bodies_.end())
+        checker_.report(Rule::lost, now_(), "the configuration read back is none that was sent");
+    else if (read->first < acknowledged_)
+        checker_.report(Rule::lost, now_(),
+                        "configuration " + std::to_string(acknowledged_) + " was acknowledged, " +
+                            std::to_string(read->first) + " is read back");
+    if (read_done_) std::exchange(read_done_, {})();
+}
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/operator.hpp
@@ -0,0 +1,63 @@
+// The operator: sends configurations one after the other, each until it is acknowledged, and reads back the last one.
+#pragma once
+#include <asio.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lab/chance.hpp"
+#include "soak/checker.hpp"
+#include "soak/http_call.hpp"
+
+namespace myrtleroute::soak {
+
+// The configuration of a version as it goes over the wire: the routes and services of the soak, its tenants with limits.
+std::string configuration_text(uint64_t version, const Limits& limits);
+
+// What the operator tells of its orders.
+struct OperatorEvents {
+    std::function<void(uint64_t version)> acknowledged;
+    std::function<void(const std::string& text)> note;   // for the timeline
+};
+
+class Operator {
+public:
+    Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
+             std::function<double()> now, OperatorEvents events);
+
+    void start();                    // sends the first configuration, and later ones that move limits
+    void stop() { stops_ = true; }   // no further change; what is under way goes on
+    // Reads until an answer comes, and judges it. `done` is called once.
+    void read_back(std::function<void()> done);
+
+private:
+    void change();
+    void send(size_t control, int redirects);
+    void answered(const HttpReply& reply, int redirects);
+    void acknowledged();
+    void read(size_t control, int redirects);
+    void judge_reading(const HttpReply& reply);
+    size_t another_control();
+    void later(double seconds, void (Operator::*what)());
+    std::optional<size_t> redirected(const HttpReply& reply) const;
+    void send_again() { send(another_control(), 0); }
+    void read_again() { read(another_control(), 0); }
+
+    asio::io_context& context_;
+    Checker& checker_;
+    std::vector<Endpoint> controls_;
+    lab::Chance chance_;
+    std::function<double()> now_;
+    OperatorEvents events_;
+    asio::steady_timer timer_;
+    Limits limits_;
+    uint64_t version_ = 0, acknowledged_ = 0;   // sent and acknowledged last
+    std::map<uint64_t, std::string> bodies_;    // by version
+    bool waits_ = false;                        // an order is under way
+    bool stops_ = false;
+    std::function<void()> read_done_;
+};
+
+}   // namespace myrtleroute::soak
--- /dev/null
+++ b/src/soak/plan.cpp
@@ -0,0 +1,170 @@
+#include "soak/plan.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+#include "lab/chance.hpp"
+
+namespace myrtleroute::soak {
+namespace {
+
+constexpr uint64_t plan_stream = 0x706c616e;   // of draws, beside those of clients and hosts
+constexpr double first_fault = 1, shortest_span = 0.3, longest_start_gap = 1;
+
+struct Spans {
+    double least, most;   // seconds
+};
+
+// How long a fault of the kind lasts.
+Spans spans_of(FaultKind kind) {
+    switch (kind) {
+        case FaultKind::kill_every_proxy:
+        case FaultKind::kill_every_control: return {0.3, 1};
+        case FaultKind::kill_proxies:
+        case FaultKind::kill_controls:
+        case FaultKind::wipe_control: return {0.3, 4};
+        case FaultKind::stop_proxies:
+        case FaultKind::stop_controls: return {1, 2};
+        default: return {1, 6};
+    }
+}
+
+bool is_cut(FaultKind kind) {
+    return kind == FaultKind::cut_machines || kind == FaultKind::cut_controls || kind == FaultKind::cut_proxies;
+}
+
+bool is_of_links(FaultKind kind) {
+    return kind == FaultKind::control_answers_lost || kind == FaultKind::subscriptions_reset ||
+           kind == FaultKind::host_answers_lost;
+}
+
+// How many machines, from the first, have what the kind of fault strikes.
+size_t struck_among(FaultKind kind, FleetSize size) {
+    switch (kind) {
+        case FaultKind::kill_controls:
+        case FaultKind::kill_every_control:
+        case FaultKind::pause_controls:
+        case FaultKind::stop_controls:
+        case FaultKind::wipe_control:
+        case FaultKind::cut_controls: return size.controls;
+        default: return size.proxies;
+    }
+}
+
+class Drawer {
+public:
+    Drawer(uint64_t seed, FleetSize size, double length) : chance_(seed, plan_stream), size_(size), length_(length) {}
+
+    std::vector<Fault> draw() {
+        for (double at = first_fault; at + shortest_span < length_;) at = draw_episode(at);
+        std::sort(faults_.begin(), faults_.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+        return std::move(faults_);
+    }
+
+private:
+    // Two or three faults that overlap. Returns when the next episode begins.
+    double draw_episode(double at) {
+        const int count = 2 + chance_.below(2);
+        double end = at;
+        double quiet = chance_.yes(0.5) ? chance_.between(0.3, 2) : chance_.between(4, 7);
+        for (int i = 0; i < count; ++i) {
+            auto fault = draw_fault(at + (i ? chance_.between(0, longest_start_gap) : 0));
+            if (fault.end() > length_) fault.span = length_ - fault.at;
+            if (fault.span < shortest_span || !is_tolerated(fault)) continue;
+            if (fault.kind == FaultKind::wipe_control) quiet = std::max(quiet, catch_up);
+            end = std::max(end, fault.end());
+            faults_.push_back(std::move(fault));
+        }
+        return end + quiet;
+    }
+
+    Fault draw_fault(double at) {
+        Fault fault;
+        fault.kind = static_cast<FaultKind>(chance_.below(static_cast<int>(FaultKind::kinds)));
+        fault.at = at;
+        const auto spans = spans_of(fault.kind);
+        fault.span = chance_.between(spans.least, spans.most);
+        if (is_cut(fault.kind) && chance_.yes(0.5)) fault.side = chance_.yes(0.5) ? CutSide::inward : CutSide::outward;
+        if (!is_of_links(fault.kind)) fault.machines = draw_machines(fault.kind);
+        return fault;
+    }
+
+    std::vector<size_t> draw_machines(FaultKind kind) {
+        const size_t among = struck_among(kind, size_);
+        std::vector<size_t> machines(among);
+        for (size_t i = 0; i < among; ++i) machines[i] = i;
+        if (kind == FaultKind::kill_every_proxy || kind == FaultKind::kill_every_control) return machines;
+        const int most = std::max(1, static_cast<int>(among / 2));
+        const auto count = static_cast<size_t>(kind == FaultKind::wipe_control ? 1 : 1 + chance_.below(most));
+        for (size_t i = 0; i < count; ++i)
+            std::swap(machines[i], machines[i + static_cast<size_t>(chance_.below(static_cast<int>(among - i)))]);
+        machines.resize(count);
+        std::sort(machines.begin(), machines.end());
+        return machines;
+    }
+
+    // A lost disk and another control node out of order, at once or shortly after each other, are one loss too many.
+    bool is_tolerated(const Fault& fault) const {
+        if (!strikes_control(fault, size_.controls)) return true;
+        return std::none_of(faults_.begin(), faults_.end(), [&](const Fault& other) {
+            const bool wipes = other.kind == FaultKind::wipe_control || fault.kind == FaultKind::wipe_control;
+            const bool near = fault.at < other.end() + catch_up && other.at < fault.end() + catch_up;
+            return wipes && near && strikes_control(other, size_.controls);
+        });
+    }
+
+    lab::Chance chance_;
+    FleetSize size_;
+    double length_;
+    std::vector<Fault> faults_;
+};
+
+}   // namespace
+
+const char* name_of(FaultKind kind) {
+    constexpr const char* names[] = {
+        "kill_proxies",   "kill_controls", "kill_every_proxy",     "kill_every_control",  "pause_proxies",
+        "pause_controls", "stop_proxies",  "stop_controls",        "wipe_control",        "cut_machines",
+        "cut_controls",   "cut_proxies",   "control_answers_lost", "subscriptions_reset", "host_answers_lost"};
+    static_assert(std::size(names) == static_cast<size_t>(FaultKind::kinds));
+    return names[static_cast<size_t>(kind)];
+}
+
+Plan draw_plan(uint64_t seed, FleetSize size, double length) { return {seed, Drawer(seed, size, length).draw()}; }
+
+bool strikes_control(const Fault& fault, size_t controls) {
+    if (fault.kind == FaultKind::cut_machines)
+        return std::any_of(fault.machines.begin(), fault.machines.end(), [&](size_t m) { return m < controls; });
+    constexpr FleetSize any{1, 2};
+    return struck_among(fault.kind, any) == any.controls;
+}
+
+bool blocks(const Fault& cut, const Link& link, Way way) {
+    const auto named = [&](size_t machine) {
+        return std::find(cut.machines.begin(), cut.machines.end(), machine) != cut.machines.end();
+    };
+    bool from_inside = named(link.from), to_inside = named(link.to);
+    if (cut.kind == FaultKind::cut_proxies) {
+        from_inside = from_inside && link.from_proxy;
+        to_inside = false;
+    } else if (cut.kind == FaultKind::cut_controls && link.from_proxy) {
+        return false;
+    } else if (cut.kind != FaultKind::cut_machines && cut.kind != FaultKind::cut_controls) {
+        return false;
+    }
+    if (from_inside == to_inside) return false;
+    const bool leaves = (way == Way::there) == from_inside;   // the bytes come from a machine that is named
+    return cut.side == CutSide::both || (cut.side == CutSide::outward) == leaves;
+}
+
+std::string text_of(const Fault& fault) {
+    constexpr const char* sides[] = {"", " inward", " outward"};
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << fault.at << " to " << fault.end() << "  " << name_of(fault.kind)
+         << sides[static_cast<size_t>(fault.side)];
+    for (const auto machine : fault.machines) text << ' ' << machine;
+    return text.str();
+}
+
+}   // namespace myrtleroute::soak
