--- a/src/soak/checker.cpp
+++ b/src/soak/checker.cpp
@@ -122,10 +122,10 @@
 
 std::string Checker::requests_text() const {
     std::ostringstream text;
-    text << "id,tenant,cost,repeatable,sent,runs,answered,status\n" << std::fixed << std::setprecision(4);
+    text << "id,tenant,proxy,cost,repeatable,sent,runs,answered,status\n" << std::fixed << std::setprecision(4);
     for (const auto& request : requests_) {
-        text << request.sent.id << ',' << request.sent.tenant << ',' << request.sent.cost << ','
-             << request.sent.repeatable << ',' << request.sent_at << ',';
+        text << request.sent.id << ',' << request.sent.tenant << ',' << request.sent.proxy << ',' << request.sent.cost
+             << ',' << request.sent.repeatable << ',' << request.sent_at << ',';
         for (const double run : request.runs) text << run << ' ';
         text << ',' << request.answered_at << ',' << request.status << '\n';
     }
--- a/src/soak/checker.hpp
+++ b/src/soak/checker.hpp
@@ -26,6 +26,7 @@
     std::string tenant;
     double cost = 0;
     bool repeatable = false;   // may run more than once
+    size_t proxy = 0;          // the machine it is sent to
 };
 
 // What a client has got for it.
--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include "soak/hosts.hpp"
+#include "soak/timing.hpp"
 
 namespace myrtleroute::soak {
 namespace {
@@ -17,10 +18,6 @@
 constexpr Span ready_patience{0.9}, client_patience{4};
 constexpr int deadline_ms = 3000;
 
-std::chrono::nanoseconds seconds(double s) {
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(s));
-}
-
 const RouteUse& pick_route(double share) {
     for (const auto& route : routes) {
         if (share < route.weight) return route;
@@ -64,14 +61,11 @@
                                   proxy.misses = reply.status == 200 ? 0 : proxy.misses + 1;
                               }});
     }
-    ready_timer_.expires_after(std::chrono::seconds(1));
-    ready_timer_.async_wait([this](asio::error_code error) {
-        if (!error) ask_ready();
-    });
+    after(ready_timer_, 1, [this] { ask_ready(); });
 }
 
 // By the weights of those that are in; of all, should none be.
-const Clients::Proxy& Clients::pick_proxy() {
+size_t Clients::pick_proxy() {
     const auto is_in = [](const Proxy& proxy) {
         return proxy.misses < misses_until_out;
     };
@@ -80,14 +74,13 @@
     for (const auto& proxy : proxies_)
         if (!some || is_in(proxy)) sum += proxy.weight;
     double left = chance_.share() * sum;
-    const Proxy* last = &proxies_.front();
-    for (const auto& proxy : proxies_) {
-        if (some && !is_in(proxy)) continue;
-        last = &proxy;
-        left -= proxy.weight;
-        if (left < 0) break;
+    size_t last = 0;
+    for (size_t i = 0; i < proxies_.size() && left >= 0; ++i) {
+        if (some && !is_in(proxies_[i])) continue;
+        last = i;
+        left -= proxies_[i].weight;
     }
-    return *last;
+    return last;
 }
 
 void Clients::next_request(Caller& caller) {
@@ -96,9 +89,7 @@
         caller.drawn_until = now_() + chance_.between(shortest_phase, longest_phase);
     }
     const double per_second = caller.demand * caller.tenant->limit.rate / mean_cost;
-    caller.timer.expires_after(seconds(chance_.exponential(1 / per_second)));
-    caller.timer.async_wait([this, &caller](asio::error_code error) {
-        if (error) return;
+    after(caller.timer, chance_.exponential(1 / per_second), [this, &caller] {
         send(*caller.tenant);
         next_request(caller);
     });
@@ -109,7 +100,8 @@
     const auto id = new_request_id(chance_);
     const auto prompt = static_cast<int>(least_prompt + chance_.exponential(mean_prompt));
     const auto output = static_cast<int>(chance_.between(least_output, most_output));
-    const auto& to = pick_proxy().at.front;
+    const auto proxy = pick_proxy();
+    const auto& to = proxies_[proxy].at.front;
     const Fields fields{{"X-Request-Id", id},
                         {"X-Deadline-Ms", std::to_string(deadline_ms)},
                         {"Authorization", "Token " + tenant.key},
@@ -117,7 +109,7 @@
                         {"X-Token-Count", std::to_string(prompt) + "," + std::to_string(output)},
                         {"X-Prompt-Prefix", id + ":" + std::to_string(prompt)},
                         {"Connection", "close"}};
-    const Sent sent{id, tenant.name, static_cast<double>(prompt + output), route.repeatable};
+    const Sent sent{id, tenant.name, static_cast<double>(prompt + output), route.repeatable, proxy};
     auto was_sent = std::make_shared<bool>(false);
     HttpCall call{to, request_text("POST", std::string(route.path) + "x", route_host, fields, "{}"), client_patience,
                   [this, sent, was_sent] {
--- a/src/soak/clients.hpp
+++ b/src/soak/clients.hpp
@@ -66,7 +66,7 @@
     void ask_ready();
     void next_request(Caller& caller);
     void send(const Tenant& tenant);
-    const Proxy& pick_proxy();
+    size_t pick_proxy();
 
     asio::io_context& context_;
     Checker& checker_;
--- a/src/soak/hosts.cpp
+++ b/src/soak/hosts.cpp
@@ -1,10 +1,11 @@
 #include "soak/hosts.hpp"
 
 #include <array>
-#include <nlohmann/json.hpp>
+#include <charconv>
 #include <utility>
 
 #include "soak/http_call.hpp"
+#include "soak/timing.hpp"
 #include "wire/http.hpp"
 
 namespace myrtleroute::soak {
@@ -16,10 +17,6 @@
 constexpr size_t most_request = 1 << 20;
 constexpr const char* ending = " end\n";
 
-std::chrono::nanoseconds seconds(double s) {
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(s));
-}
-
 std::string plain_body(const std::string& request_id) { return request_id + ending; }
 
 std::string event(const std::string& request_id, int number) {
@@ -129,20 +126,14 @@
 
     template <class Then>
     void after_a_while(Then then) {
-        timer_.expires_after(seconds(host_.chance_.between(shortest_answer, longest_answer)));
-        timer_.async_wait([self = shared_from_this(), then](asio::error_code error) {
-            if (!error) then();
-        });
+        after(timer_, host_.chance_.between(shortest_answer, longest_answer),
+              [self = shared_from_this(), then] { then(); });
     }
 
     std::string report() const {
-        const nlohmann::json report{
-            {"stage", "both"}, {"models", {{{"name", "m"}, {"version", 1}, {"adapters", nlohmann::json::array()}}}},
-            {"busy", false},   {"sequence", 0},
-            {"queued", 0},     {"running", host_.running_},
-            {"kvUsed", 0},     {"kvTotal", 1000000},
-            {"handles", 0}};
-        return report.dump();
+        return R"({"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,)"
+               R"("kvUsed":0,"kvTotal":1000000,"handles":0,"running":)" +
+               std::to_string(host_.running_) + "}";
     }
 
     // The status line and fields of an answer, with the empty line.
@@ -212,21 +203,17 @@
 
 void Host::beat() {
     tell(control_, options_.controls.size());
-    timer_.expires_after(seconds(options_.heartbeat * chance_.between(0.9, 1.1)));
-    timer_.async_wait([this](asio::error_code error) {
-        if (!error) beat();
-    });
+    after(timer_, options_.heartbeat * chance_.between(0.9, 1.1), [this] { beat(); });
 }
 
 // A heartbeat; where it is not acknowledged, the next control node is told.
 void Host::tell(size_t control, size_t tries) {
-    const nlohmann::json body{{"service", options_.service},   {"address", options_.at.text()},
-                              {"zone", options_.zone},         {"version", "v1"},
-                              {"capacity", options_.capacity}, {"state", "ready"},
-                              {"coldRemainingMs", 0},          {"sequence", ++sequence_}};
+    const auto body = R"({"service":")" + options_.service + R"(","address":")" + options_.at.text() + R"(","zone":")" +
+                      options_.zone + R"(","version":"v1","state":"ready","coldRemainingMs":0,)" + R"("capacity":)" +
+                      std::to_string(options_.capacity) + R"(,"sequence":)" + std::to_string(++sequence_) + "}";
     const auto& to = options_.controls[control];
     const auto text = request_text("PUT", "/instances/" + options_.id, to.text(),
-                                   {{"Content-Type", "application/json"}, {"Connection", "close"}}, body.dump());
+                                   {{"Content-Type", "application/json"}, {"Connection", "close"}}, body);
     start_call(context_, {to, text, Span{1}, {}, [this, control, tries](const HttpReply& reply) {
                               control_ = control;
                               if (reply.status == 200 || tries <= 1) return;
--- a/src/soak/http_call.cpp
+++ b/src/soak/http_call.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <memory>
 
+#include "soak/timing.hpp"
 #include "wire/http.hpp"
 #include "wire/text.hpp"
 
@@ -42,13 +43,9 @@
           http_(wire::HttpMachine::Side::answer, reader_, answer_limits()) {}
 
     void start() {
-        timer_.expires_after(
-            std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(call_.patience.s)));
-        timer_.async_wait([self = shared_from_this()](asio::error_code error) {
-            if (!error) self->fail("no whole answer in time");
-        });
+        after(timer_, call_.patience.s, [self = shared_from_this()] { self->end({}); });
         socket_.async_connect(address_of(call_.to), [self = shared_from_this()](asio::error_code error) {
-            error ? self->fail(error.message()) : self->write();
+            error ? self->end({}) : self->write();
         });
     }
 
@@ -56,10 +53,9 @@
     void write() {
         if (over_) return;
         if (call_.on_sending) call_.on_sending();
-        asio::async_write(socket_, asio::buffer(call_.text),
-                          [self = shared_from_this()](asio::error_code error, size_t) {
-                              error ? self->fail(error.message()) : self->read();
-                          });
+        asio::async_write(
+            socket_, asio::buffer(call_.text),
+            [self = shared_from_this()](asio::error_code error, size_t) { error ? self->end({}) : self->read(); });
     }
 
     void read() {
@@ -73,17 +69,10 @@
         http_.feed(bytes);
         if (error == asio::error::eof) http_.closed();
         if (http_.done() && !http_.fault()) return end(std::move(reader_.reply));
-        if (error) return fail(error.message());
-        if (http_.fault()) return fail("bytes that are no answer");
+        if (error || http_.fault()) return end({});
         read();
     }
 
-    void fail(std::string fault) {
-        HttpReply none;
-        none.fault = std::move(fault);
-        end(std::move(none));
-    }
-
     void end(HttpReply reply) {
         if (std::exchange(over_, true)) return;
         asio::error_code ignored;
--- a/src/soak/http_call.hpp
+++ b/src/soak/http_call.hpp
@@ -22,7 +22,6 @@
     int status = 0;   // 0: no whole answer has come
     Fields fields;
     std::string body;
-    std::string fault;   // why there is none
 };
 
 struct HttpCall {
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -1,30 +1,26 @@
 // Runs fleets of real processes under random faults. Exit status: 0 every invariant held, 1 one broke, 2 what was asked is
 // at fault, 3 interrupted.
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
 
-#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <map>
-#include <thread>
 
-#include "rig/process.hpp"
 #include "soak/soak.hpp"
 
 namespace {
 
 using namespace myrtleroute::soak;
+namespace fs = std::filesystem;
 
 constexpr int held = 0, broke = 1, at_fault = 2, interrupted = 3;
 
-volatile sig_atomic_t end_asked = 0;
-void ask_for_end(int) { end_asked = 1; }
-
 struct Command {
     SoakOptions soak;
     std::string keep;   // folder for logs; empty: a temporary one, kept where an invariant broke
@@ -32,117 +28,109 @@
     unsigned jobs = 1;
 };
 
-std::string make_directory(const Command& command) {
+fs::path make_directory(const Command& command) {
+    const auto of_seed = "seed-" + std::to_string(command.soak.seed);
     if (command.keep.empty()) {
-        std::string name = (std::filesystem::temp_directory_path() / "myrtleroute-soak-XXXXXX").string();
+        std::string name = (fs::temp_directory_path() / ("myrtleroute-soak-" + of_seed + "-XXXXXX")).string();
         if (!::mkdtemp(name.data())) throw std::runtime_error("no temporary folder can be made");
         return name;
     }
-    const auto directory = std::filesystem::absolute(command.keep) / ("seed-" + std::to_string(command.soak.seed));
-    std::filesystem::remove_all(directory);
-    std::filesystem::create_directories(directory);
-    return directory.string();
+    const auto directory = fs::absolute(command.keep) / of_seed;
+    fs::remove_all(directory);
+    fs::create_directories(directory);
+    return directory;
+}
+
+void print(const Outcome& outcome, uint64_t seed) {
+    const char* result = outcome.interrupted ? "interrupted" : outcome.violations.empty() ? "held" : "BROKE";
+    std::ostringstream text;   // at once, as others may print as well
+    text << "seed " << seed << ": " << result << "; " << outcome.summary << '\n';
+    for (const auto& violation : outcome.violations)
+        text << "  " << name_of(violation.rule) << " at " << violation.at << ": " << violation.text << '\n';
+    if (!outcome.violations.empty()) text << outcome.timeline;
+    std::cout << text.str() << std::flush;
 }
 
 // Plays one seed and tells what was found.
 int run(Command command) {
-    command.soak.directory = make_directory(command);
-    const std::filesystem::path directory = command.soak.directory;
+    const auto directory = make_directory(command);
+    command.soak.directory = directory.string();
     Soak soak(command.soak);
     const auto outcome = soak.run();
-    const bool keeps = !command.keep.empty() || !outcome.violations.empty();
+    print(outcome, command.soak.seed);
     std::ofstream(directory / "timeline.txt") << outcome.timeline;
     std::ofstream(directory / "requests.csv") << soak.requests_text();
-    if (command.keep.empty()) std::filesystem::remove_all(directory / "data");
-    if (!keeps) std::filesystem::remove_all(directory);
-    std::cout << "seed " << command.soak.seed << ": "
-              << (outcome.interrupted          ? "interrupted"
-                  : outcome.violations.empty() ? "held"
-                                               : "BROKE")
-              << "; " << outcome.summary << '\n';
-    for (const auto& violation : outcome.violations)
-        std::cout << "  " << name_of(violation.rule) << " at " << violation.at << ": " << violation.text << '\n';
-    if (!outcome.violations.empty()) std::cout << outcome.timeline;
-    if (keeps) std::cout << "  logs: " << directory.string() << '\n';
-    std::cout.flush();
+    if (command.keep.empty()) fs::remove_all(directory / "data");
+    if (command.keep.empty() && outcome.violations.empty())
+        fs::remove_all(directory);
+    else
+        std::cout << "  logs: " << directory.string() << std::endl;
     if (outcome.interrupted) return interrupted;
     return outcome.violations.empty() ? held : broke;
 }
 
+volatile sig_atomic_t end_asked = 0;
+void ask_for_end(int) { end_asked = 1; }
+
 // Plays seeds in processes of their own, some at a time.
 class Sweep {
 public:
-    explicit Sweep(const Command& command) : command_(command), directory_(temporary()) {}
-    ~Sweep() { std::filesystem::remove_all(directory_); }
-    Sweep(const Sweep&) = delete;
-    Sweep& operator=(const Sweep&) = delete;
+    explicit Sweep(const Command& command) : command_(command) {}
 
     int run() {
-        ::signal(SIGINT, ask_for_end);
-        ::signal(SIGTERM, ask_for_end);
+        struct sigaction action {};   // interrupts waits
+        action.sa_handler = ask_for_end;
+        ::sigaction(SIGINT, &action, nullptr);
+        ::sigaction(SIGTERM, &action, nullptr);
         uint64_t next = command_.from;
         const uint64_t end = command_.from + command_.seeds;
-        while (next < end || !running_.empty()) {
-            if (end_asked) return give_up();
-            while (next < end && running_.size() < command_.jobs) start(next++);
-            reap();
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        while (!end_asked && (next < end || !running_.empty())) {
+            if (next < end && running_.size() < command_.jobs)
+                start(next++);
+            else
+                wait_for_one();
         }
+        for (const auto& [pid, seed] : running_) ::kill(pid, SIGTERM);
+        while (!running_.empty()) wait_for_one();
+        if (end_asked) return interrupted;
         std::cout << command_.seeds << " seeds played, " << broken_.size() << " broken";
         for (const auto seed : broken_) std::cout << ' ' << seed;
-        std::cout << '\n';
+        std::cout << std::endl;
         return broken_.empty() ? held : broke;
     }
 
 private:
-    static std::string temporary() {
-        std::string name = (std::filesystem::temp_directory_path() / "myrtleroute-soak-sweep-XXXXXX").string();
-        if (!::mkdtemp(name.data())) throw std::runtime_error("no temporary folder can be made");
-        return name;
-    }
-
-    std::string output_of(uint64_t seed) const { return directory_ + "/" + std::to_string(seed); }
-
     void start(uint64_t seed) {
-        myrtleroute::rig::Start start;
-        start.words = {std::filesystem::read_symlink("/proc/self/exe").string(),
-                       "run",
-                       "--program",
-                       command_.soak.program,
-                       "--seed",
-                       std::to_string(seed),
-                       "--seconds",
-                       std::to_string(command_.soak.seconds),
-                       "--control",
-                       std::to_string(command_.soak.size.controls),
-                       "--proxies",
-                       std::to_string(command_.soak.size.proxies)};
-        if (!command_.keep.empty()) start.words.insert(start.words.end(), {"--keep", command_.keep});
-        start.output = output_of(seed);
-        const auto pid = myrtleroute::rig::start(start);
+        const pid_t sweep = ::getpid(), pid = ::fork();
         if (pid < 0) throw std::runtime_error("no process can be started");
-        running_[pid] = seed;
+        if (pid > 0) {
+            running_[pid] = seed;
+            return;
+        }
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);   // ends with the sweep, however that ends
+        if (::getppid() != sweep) ::_exit(at_fault);
+        command_.soak.seed = seed;
+        ::_exit(play(command_));
     }
 
-    void reap() {
-        for (auto ended = myrtleroute::rig::next_ended(); ended.pid; ended = myrtleroute::rig::next_ended()) {
-            const auto run = running_.extract(ended.pid);
-            if (run.empty()) continue;
-            std::cout << std::ifstream(output_of(run.mapped())).rdbuf() << std::flush;
-            if (ended.by_signal || ended.code != held) broken_.push_back(run.mapped());
-            if (ended.by_signal) std::cout << "seed " << run.mapped() << " was ended by signal " << ended.code << '\n';
+    static int play(const Command& command) {
+        try {
+            return ::run(command);
+        } catch (const std::exception& fault) {
+            std::cerr << "seed " << command.soak.seed << ": " << fault.what() << std::endl;
+            return at_fault;
         }
     }
 
-    int give_up() {
-        for (const auto& [pid, seed] : running_) ::kill(pid, SIGTERM);
-        for (const auto& [pid, seed] : running_) ::waitpid(pid, nullptr, 0);
-        return interrupted;
+    void wait_for_one() {
+        int status = 0;
+        const auto ended = running_.extract(::waitpid(-1, &status, 0));
+        if (ended.empty()) return;
+        if (!WIFEXITED(status) || WEXITSTATUS(status) != held) broken_.push_back(ended.mapped());
     }
 
     Command command_;
-    std::string directory_;   // of what runs print
-    std::map<pid_t, uint64_t> running_;
+    std::map<pid_t, uint64_t> running_;   // seeds
     std::vector<uint64_t> broken_;
 };
 
@@ -172,11 +160,10 @@
         app.parse(argc, argv);
         if (command.soak.size.proxies < command.soak.size.controls)
             throw CLI::ValidationError("--proxies", "every control machine has a proxy: at least as many are needed");
-        command.soak.program = std::filesystem::absolute(command.soak.program).string();
+        command.soak.program = fs::absolute(command.soak.program).string();
         return one->parsed() ? run(command) : Sweep(command).run();
     } catch (const CLI::ParseError& fault) {
-        const int code = app.exit(fault);
-        return code ? at_fault : held;
+        return app.exit(fault) ? at_fault : held;
     } catch (const std::exception& fault) {
         std::cerr << fault.what() << '\n';
         return at_fault;
--- a/src/soak/operator.cpp
+++ b/src/soak/operator.cpp
@@ -1,9 +1,10 @@
 #include "soak/operator.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <cmath>
 
 #include "soak/clients.hpp"
+#include "soak/timing.hpp"
 
 namespace myrtleroute::soak {
 namespace {
@@ -15,40 +16,34 @@
 constexpr int most_redirects = 2;
 constexpr uint64_t most_version_step = 3;
 
-nlohmann::json route_json(const RouteUse& route) {
-    return {{"name", std::string("r-") + route.service + route.kind},
-            {"hostname", route_host},
-            {"pathPrefix", route.path},
-            {"kind", route.kind},
-            {"timeoutMs", 3000},
-            {"targetLatencyMs", 1000},
-            {"priority", 0},
-            {"service", route.service},
-            {"maxAttempts", 2},
-            {"public", false},
-            {"sticky", route.streams},
-            {"resumable", false}};
-}
+std::string number(double value) { return std::to_string(static_cast<int64_t>(value)); }
 
-nlohmann::json service_json(const std::string& name, bool is_engine) {
-    nlohmann::json service{{"name", name}, {"healthCheck", "/health"}, {"maxConnections", 500}, {"protocol", "h1"}};
-    if (is_engine) service["engine"] = {{"capacity", 64}, {"kvCapacityTokens", 1000000}, {"models", {{{"name", "m"}}}}};
-    return service;
+std::string route_json(const RouteUse& route) {
+    return R"({"name":"r","hostname":")" + std::string(route_host) + R"(","pathPrefix":")" + route.path +
+           R"(","kind":")" + route.kind + R"(","service":")" + route.service +
+           R"(","timeoutMs":3000,"targetLatencyMs":1000,"priority":0,"maxAttempts":2,"public":false,"sticky":)" +
+           (route.streams ? "true" : "false") + R"(,"resumable":false})";
 }
 
-nlohmann::json tenant_json(const Tenant& tenant, const TenantLimit& limit) {
-    return {{"name", tenant.name},   {"apiKeys", {tenant.key}}, {"priority", 1},       {"unit", "token_rate"},
-            {"uncachedTokens", 200}, {"ratePerS", limit.rate},  {"burst", limit.burst}};
+std::string tenant_json(const Tenant& tenant, const TenantLimit& limit) {
+    return R"({"name":")" + tenant.name + R"(","apiKeys":[")" + tenant.key +
+           R"("],"priority":1,"unit":"token_rate","uncachedTokens":200,"ratePerS":)" + number(limit.rate) +
+           R"(,"burst":)" + number(limit.burst) + "}";
 }
 
+constexpr const char* services_json =
+    R"([{"name":"plain","healthCheck":"/health","maxConnections":500},{"name":"model","healthCheck":"/health",)"
+    R"("maxConnections":500,"engine":{"capacity":64,"kvCapacityTokens":1000000,"models":[{"name":"m"}]}}])";
+
 }   // namespace
 
 std::string configuration_text(uint64_t version, const Limits& limits) {
-    nlohmann::json document{{"version", version},
-                            {"services", {service_json("plain", false), service_json("model", true)}}};
-    for (const auto& route : routes) document["routes"].push_back(route_json(route));
-    for (const auto& tenant : tenants()) document["tenants"].push_back(tenant_json(tenant, limits.at(tenant.name)));
-    return document.dump();
+    std::string route_list, tenant_list;
+    for (const auto& route : routes) route_list += (route_list.empty() ? "" : ",") + route_json(route);
+    for (const auto& tenant : tenants())
+        tenant_list += (tenant_list.empty() ? "" : ",") + tenant_json(tenant, limits.at(tenant.name));
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route_list + R"(],"services":)" +
+           services_json + R"(,"tenants":[)" + tenant_list + "]}";
 }
 
 Operator::Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
@@ -63,29 +58,19 @@
     for (const auto& tenant : tenants()) limits_[tenant.name] = tenant.limit;
 }
 
-void Operator::start() { change(); }
-
-void Operator::later(double seconds, void (Operator::*what)()) {
-    timer_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(seconds)));
-    timer_.async_wait([this, what](asio::error_code error) {
-        if (!error) (this->*what)();
-    });
-}
-
 size_t Operator::another_control() { return static_cast<size_t>(chance_.below(static_cast<int>(controls_.size()))); }
 
-void Operator::change() {
+void Operator::start() {
     if (stops_) return;
     for (const auto& tenant : tenants()) {
         const double factor = chance_.between(least_factor, most_factor);
         if (tenant.limit_moves && version_)
-            limits_[tenant.name] = {tenant.limit.rate * factor, tenant.limit.burst * factor};
+            limits_[tenant.name] = {std::floor(tenant.limit.rate * factor), std::floor(tenant.limit.burst * factor)};
     }
     version_ += 1 + static_cast<uint64_t>(chance_.below(static_cast<int>(most_version_step)));
     bodies_[version_] = configuration_text(version_, limits_);
     checker_.configuration_sent(version_, limits_, now_());
     events_.note("configuration " + std::to_string(version_) + " is sent");
-    waits_ = true;
     send_again();
 }
 
@@ -117,18 +102,16 @@
         checker_.report(Rule::configuration, now_(),
                         "configuration " + std::to_string(version_) + " on top of " + std::to_string(acknowledged_) +
                             " was refused: " + std::to_string(reply.status) + " " + reply.body);
-        waits_ = false;
         return;
     }
-    later(pause, &Operator::send_again);
+    after(timer_, pause, [this] { send_again(); });
 }
 
 void Operator::acknowledged() {
     acknowledged_ = version_;
-    waits_ = false;
     events_.note("configuration " + std::to_string(version_) + " is acknowledged");
     events_.acknowledged(version_);
-    later(chance_.between(soonest, latest), &Operator::change);
+    after(timer_, chance_.between(soonest, latest), [this] { start(); });
 }
 
 void Operator::read_back(std::function<void()> done) {
@@ -145,7 +128,7 @@
                               const auto leader = redirected(reply);
                               if (leader && redirects < most_redirects) return read(*leader, redirects + 1);
                               if (reply.status == 200) return judge_reading(reply);
-                              later(pause, &Operator::read_again);
+                              after(timer_, pause, [this] { read_again(); });
                           }});
 }
 
--- a/src/soak/operator.hpp
+++ b/src/soak/operator.hpp
@@ -27,20 +27,17 @@
     Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
              std::function<double()> now, OperatorEvents events);
 
-    void start();                    // sends the first configuration, and later ones that move limits
-    void stop() { stops_ = true; }   // no further change; what is under way goes on
+    void start();   // sends the first configuration, and later ones that move limits
     // Reads until an answer comes, and judges it. `done` is called once.
     void read_back(std::function<void()> done);
 
 private:
-    void change();
     void send(size_t control, int redirects);
     void answered(const HttpReply& reply, int redirects);
     void acknowledged();
     void read(size_t control, int redirects);
     void judge_reading(const HttpReply& reply);
     size_t another_control();
-    void later(double seconds, void (Operator::*what)());
     std::optional<size_t> redirected(const HttpReply& reply) const;
     void send_again() { send(another_control(), 0); }
     void read_again() { read(another_control(), 0); }
@@ -55,8 +52,7 @@
     Limits limits_;
     uint64_t version_ = 0, acknowledged_ = 0;   // sent and acknowledged last
     std::map<uint64_t, std::string> bodies_;    // by version
-    bool waits_ = false;                        // an order is under way
-    bool stops_ = false;
+    bool stops_ = false;                        // no further change
     std::function<void()> read_done_;
 };
 
--- a/src/soak/relay.cpp
+++ b/src/soak/relay.cpp
@@ -6,6 +6,7 @@
 
 #include "messages/messages.hpp"
 #include "soak/http_call.hpp"
+#include "soak/timing.hpp"
 
 namespace myrtleroute::soak {
 
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds look_again{10};
+constexpr double look_again = 0.01;   // seconds
 
 }   // namespace
 
@@ -103,10 +104,7 @@
     void wait(Way way) {
         auto& from = direction(way);
         if (std::chrono::steady_clock::now() - from.held_since > given_up_after) return drop();
-        from.timer->expires_after(look_again);
-        from.timer->async_wait([self = shared_from_this(), way](asio::error_code error) {
-            if (!error) self->pass(way);
-        });
+        after(*from.timer, look_again, [self = shared_from_this(), way] { self->pass(way); });
     }
 
     void end(Way way) {
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -8,12 +8,14 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "soak/timing.hpp"
+
 namespace myrtleroute::soak {
 namespace {
 
 using asio::ip::tcp;
 
-constexpr std::chrono::milliseconds tick_every{10};
+constexpr double tick_every = 0.01;                                          // seconds
 constexpr double start_within = 30, recover_within = 12, read_within = 12;   // seconds
 constexpr double served_span = 2.5, served_delay = 0.5;   // requests sent in this span, as they stand this much later
 constexpr size_t served_least = 8;                        // requests that such a span must hold
@@ -189,10 +191,7 @@
     ticked_ = moment;
     fleet_.tick(moment);
     proceed();
-    timer_.expires_after(tick_every);
-    timer_.async_wait([this](asio::error_code error) {
-        if (!error) tick();
-    });
+    after(timer_, tick_every, [this] { tick(); });
 }
 
 bool Soak::serves() const {
@@ -285,10 +284,7 @@
     };
     for (size_t i = 0; i < options_.size.controls; ++i) ask(Role::control, i);
     for (size_t i = 0; i < options_.size.proxies; ++i) ask(Role::proxy, i);
-    counter_timer_.expires_after(std::chrono::seconds(1));
-    counter_timer_.async_wait([this](asio::error_code error) {
-        if (!error) read_counters();
-    });
+    after(counter_timer_, 1, [this] { read_counters(); });
 }
 
 // A version is in force everywhere once nothing has been in trouble for a while, some time past its acknowledgement.
