Soak: every control node cut from every other, hotter tenants, own lateness in the timeline

Change: a fault of that kind; 'hot' asks for six times its quota, 'jumping' for up to eight times; the timeline tells when the soak itself was late by more than 0.25 s, so that no failure is laid to it without a sign.

--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -13,7 +13,7 @@
 constexpr double least_prompt = 200, mean_prompt = 1000;   // tokens; a prompt is longer than the least by a random part
 constexpr double least_output = 20, most_output = 200;
 constexpr double mean_cost = least_prompt + mean_prompt + (least_output + most_output) / 2;
-constexpr double jumps[] = {0.3, 1, 3, 5};                // times the rate
+constexpr double jumps[] = {0.3, 1, 4, 8};                // times the rate
 constexpr double shortest_phase = 4, longest_phase = 8;   // seconds between jumps
 constexpr Span ready_patience{0.9}, client_patience{4};
 constexpr int deadline_ms = 3000;
@@ -36,7 +36,7 @@
 
 const std::vector<Tenant>& tenants() {
     static const std::vector<Tenant> all{{modest_tenant, "key-modest", {30000, 45000}, 0.5, false, false},
-                                         {"hot", "key-hot", {20000, 30000}, 4, false, false},
+                                         {"hot", "key-hot", {20000, 30000}, 6, false, false},
                                          {"jumping", "key-jumping", {20000, 30000}, 1, true, false},
                                          {"moved", "key-moved", {20000, 30000}, 2, false, true}};
     return all;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -35,7 +35,7 @@
         if (!::mkdtemp(name.data())) throw std::runtime_error("no temporary folder can be made");
         return name;
     }
-    const auto directory = fs::absolute(command.keep) / of_seed;
+    auto directory = fs::absolute(command.keep) / of_seed;
     fs::remove_all(directory);
     fs::create_directories(directory);
     return directory;
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -34,6 +34,11 @@
     return kind == FaultKind::cut_machines || kind == FaultKind::cut_controls || kind == FaultKind::cut_proxies;
 }
 
+bool strikes_every(FaultKind kind) {
+    return kind == FaultKind::kill_every_proxy || kind == FaultKind::kill_every_control ||
+           kind == FaultKind::cut_every_control;
+}
+
 bool is_of_links(FaultKind kind) {
     return kind == FaultKind::control_answers_lost || kind == FaultKind::subscriptions_reset ||
            kind == FaultKind::host_answers_lost;
@@ -47,7 +52,8 @@
         case FaultKind::pause_controls:
         case FaultKind::stop_controls:
         case FaultKind::wipe_control:
-        case FaultKind::cut_controls: return size.controls;
+        case FaultKind::cut_controls:
+        case FaultKind::cut_every_control: return size.controls;
         default: return size.proxies;
     }
 }
@@ -94,7 +100,7 @@
         const size_t among = struck_among(kind, size_);
         std::vector<size_t> machines(among);
         for (size_t i = 0; i < among; ++i) machines[i] = i;
-        if (kind == FaultKind::kill_every_proxy || kind == FaultKind::kill_every_control) return machines;
+        if (strikes_every(kind)) return machines;
         const int most = std::max(1, static_cast<int>(among / 2));
         const auto count = static_cast<size_t>(kind == FaultKind::wipe_control ? 1 : 1 + chance_.below(most));
         for (size_t i = 0; i < count; ++i)
@@ -124,9 +130,10 @@
 
 const char* name_of(FaultKind kind) {
     constexpr const char* names[] = {
-        "kill_proxies",   "kill_controls", "kill_every_proxy",     "kill_every_control",  "pause_proxies",
-        "pause_controls", "stop_proxies",  "stop_controls",        "wipe_control",        "cut_machines",
-        "cut_controls",   "cut_proxies",   "control_answers_lost", "subscriptions_reset", "host_answers_lost"};
+        "kill_proxies",  "kill_controls",        "kill_every_proxy",    "kill_every_control",
+        "pause_proxies", "pause_controls",       "stop_proxies",        "stop_controls",
+        "wipe_control",  "cut_machines",         "cut_controls",        "cut_every_control",
+        "cut_proxies",   "control_answers_lost", "subscriptions_reset", "host_answers_lost"};
     static_assert(std::size(names) == static_cast<size_t>(FaultKind::kinds));
     return names[static_cast<size_t>(kind)];
 }
@@ -144,6 +151,7 @@
     const auto named = [&](size_t machine) {
         return std::find(cut.machines.begin(), cut.machines.end(), machine) != cut.machines.end();
     };
+    if (cut.kind == FaultKind::cut_every_control) return !link.from_proxy;
     bool from_inside = named(link.from), to_inside = named(link.to);
     if (cut.kind == FaultKind::cut_proxies) {
         from_inside = from_inside && link.from_proxy;
--- a/src/soak/plan.hpp
+++ b/src/soak/plan.hpp
@@ -22,6 +22,7 @@
     wipe_control,           // SIGKILL, started again on an empty disk
     cut_machines,           // the machines from all others
     cut_controls,           // the control nodes of the machines from the other control nodes; proxies reach all
+    cut_every_control,      // every control node from every other one; proxies reach all
     cut_proxies,            // the proxies of the machines from every control node
     control_answers_lost,   // of what hosts and the operator are answered, half is reset
     subscriptions_reset,    // connections of proxies to control nodes break as something is told on them
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -15,7 +15,7 @@
 
 using asio::ip::tcp;
 
-constexpr double tick_every = 0.01;                                          // seconds
+constexpr double tick_every = 0.01, worth_noting = 0.25;                     // seconds between ticks
 constexpr double start_within = 30, recover_within = 12, read_within = 12;   // seconds
 constexpr double served_span = 2.5, served_delay = 0.5;   // requests sent in this span, as they stand this much later
 constexpr size_t served_least = 8;                        // requests that such a span must hold
@@ -188,6 +188,7 @@
 void Soak::tick() {
     const double moment = now();
     latest_tick_ = std::max(latest_tick_, moment - ticked_);
+    if (moment - ticked_ > worth_noting) note("the soak itself was late by " + std::to_string(moment - ticked_) + " s");
     ticked_ = moment;
     fleet_.tick(moment);
     proceed();
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -104,6 +104,9 @@
     const Fault controls{FaultKind::cut_controls, 0, 1, {1}, CutSide::both};
     CHECK(blocks(controls, in, Way::there));
     CHECK_FALSE(blocks(controls, of_proxy, Way::there));
+    const Fault every{FaultKind::cut_every_control, 0, 1, {0, 1, 2, 3}, CutSide::both};
+    CHECK(blocks(every, beside, Way::back));
+    CHECK_FALSE(blocks(every, of_proxy, Way::there));
     const Fault proxies{FaultKind::cut_proxies, 0, 1, {1}, CutSide::outward};
     CHECK(blocks(proxies, own_proxy, Way::there));
     CHECK_FALSE(blocks(proxies, own_proxy, Way::back));
