--- a/src/configuration/node_settings.cpp
+++ b/src/configuration/node_settings.cpp
@@ -123,6 +123,8 @@
     if (value.empty()) return;
     settings.metrics = parse_metrics_address(value);
     if (!settings.metrics) reader.report("metrics", "must be a port and a path, PORT/PATH, not '" + value + "'");
+}
+
 std::optional<std::string> read_advertised_address(Reader& reader) {
     constexpr const char* key = "advertise.address";
     const auto address = reader.text(key, false);
--- a/src/leases/allocator.cpp
+++ b/src/leases/allocator.cpp
@@ -1,6 +1,7 @@
 #include "leases/allocator.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -257,6 +258,9 @@
         if (tenant.level < -budget.debt() - rest) return "tenant " + name + ": more is lent ahead than may be";
         if (tenant.level > 0 && tenant.level + tenant.lent > budget.pool() + rest)
             return "tenant " + name + ": the pool and what is lent are more than may be";
+        double lent = 0;
+        for (const auto& [holder, share] : tenant.shares) lent += share.lent;
+        if (std::abs(lent - tenant.lent) > rest) return "tenant " + name + ": the sum of what is lent is wrong";
     }
     return {};
 }
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -45,6 +45,9 @@
     state.leads = replica_.role() == consensus::Role::leader;
     state.is_current = replica_.is_current(now);
     state.term = replica_.term();
+    state.lends = lending_.lends();
+    state.lending_violations = lending_.violations();
+    state.last_lending_violation = lending_.last_violation();
     return state;
 }
 
--- a/src/roles/control/node_figures.cpp
+++ b/src/roles/control/node_figures.cpp
@@ -1,5 +1,7 @@
 #include "roles/control/node_figures.hpp"
 
+#include "roles/log.hpp"
+
 namespace myrtleroute::control {
 
 NodeFigures::NodeFigures(metrics::Registry& registry)
@@ -7,7 +9,11 @@
       subscribers_(registry.gauge("myrtleroute_control_subscribers", "Proxies that subscribe to this node.")),
       leads_(registry.gauge("myrtleroute_control_leads", "1: this node leads; else 0.")),
       current_(registry.gauge("myrtleroute_control_current", "1: lately in touch with a majority; else 0.")),
-      term_(registry.gauge("myrtleroute_control_term", "Term of this node's replica.")) {}
+      term_(registry.gauge("myrtleroute_control_term", "Term of this node's replica.")),
+      lends_(registry.gauge("myrtleroute_control_lends", "1: this node lends the tenants' limits; else 0.")),
+      lending_violations_(registry.counter("myrtleroute_invariant_violations_total",
+                                           "Violations of what must always hold; any is a fault.",
+                                           {{"invariant", "lent_within_budget"}})) {}
 
 void NodeFigures::show(const NodeState& state) {
     proxies_.set(static_cast<double>(state.proxies));
@@ -15,6 +21,11 @@
     leads_.set(state.leads ? 1 : 0);
     current_.set(state.is_current ? 1 : 0);
     term_.set(static_cast<double>(state.term));
+    lends_.set(state.lends ? 1 : 0);
+    lending_violations_.add(static_cast<double>(state.lending_violations - shown_violations_));
+    if (state.lending_violations > 0 && shown_violations_ == 0)
+        log_error() << "invariant lent_within_budget is violated: " << state.last_lending_violation;
+    shown_violations_ = state.lending_violations;
 }
 
 }   // namespace myrtleroute::control
--- a/src/roles/control/node_figures.hpp
+++ b/src/roles/control/node_figures.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "base/metrics.hpp"
 
@@ -14,6 +15,9 @@
     bool leads = false;
     bool is_current = false;   // lately in touch with a majority
     uint64_t term = 0;
+    bool lends = false;                   // the tenants' limits
+    uint64_t lending_violations = 0;      // of the allocator's invariant, since the start
+    std::string last_lending_violation;   // what the last one was
 };
 
 class NodeFigures {
@@ -22,7 +26,9 @@
     void show(const NodeState& state);
 
 private:
-    metrics::Gauge proxies_, subscribers_, leads_, current_, term_;
+    metrics::Gauge proxies_, subscribers_, leads_, current_, term_, lends_;
+    metrics::Counter lending_violations_;
+    uint64_t shown_violations_ = 0;
 };
 
 }   // namespace myrtleroute::control
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -62,6 +62,8 @@
         CHECK(one_line(std::get<1>(checked)) ==
               "f:10: metrics must be a port and a path, PORT/PATH, not '" + value + "'");
     }
+}
+
 TEST_CASE("a machine is reached at the address that it advertises, else at its own") {
     const auto own = read_node_settings(sound_settings, "f");
     REQUIRE(own.index() == 0);
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -381,6 +381,8 @@
     const auto state = control.node->state(control.now);
     CHECK_FALSE(state.leads);
     CHECK_FALSE(state.is_current);
+}
+
 TEST_CASE("a seed that is behind a relay finds itself among the seeds by the address that it advertises") {
     configuration::NodeSettings settings;
     settings.address = "10.1.0.3";
