--- a/src/leases/allocator.cpp
+++ b/src/leases/allocator.cpp
@@ -10,12 +10,14 @@
 
 constexpr size_t most_holders = 4096;
 constexpr double rounding = 1e-6;   // of the depth
-constexpr double scarce = 0.5;   // of what may be in the pool and lent: below it the limit binds, if all is asked for
-constexpr double nearly_all = 0.95;      // of the fill
-constexpr Span settles_within{0.6};      // all that run have asked by then
-constexpr Span most_idle{8};             // that is credited at the beginning
-constexpr Span held_for{2};              // of its demand, a holder has at the most
-constexpr double threshold_part = 0.2;   // of a holder's target
+constexpr double scarce = 0.5;     // of what may be in the pool and lent: below it the limit binds, if all is asked for
+constexpr double overload = 1.1;   // of the fill: asked for by then, the limit binds, if little is left
+constexpr Span settles_within{0.6};            // all that run have asked by then
+constexpr Span most_idle{8};                   // that is credited at the beginning
+constexpr Span held_for{2};                    // of its demand, a holder has at the most
+constexpr double held_part = 0.6;              // of what is in the pool and lent, to be held
+constexpr double threshold_part = 0.2;         // of what a holder usually has
+constexpr double most_threshold_part = 0.35;   // of a holder's target
 // The fill is worked out for so long ahead, at each tick; after that there is none until the next tick.
 constexpr Span fill_holds{0.2};
 
@@ -35,6 +37,7 @@
         if (fresh) tenant.filled = now;
         plan_fill(tenant, now);
         tenant.level = std::min(tenant.level, room(tenant, now));
+        tenant.overdrawn = std::max(0.0, -tenant.level - tenant.budget.debt());   // by a higher limit
     }
 }
 
@@ -86,6 +89,7 @@
     const double passed = (std::min(now, tenant.filled_until) - tenant.filled).s;
     tenant.level = std::min(tenant.level + tenant.fill * std::max(0.0, passed), room(tenant, now));
     tenant.filled = std::max(tenant.filled, now);
+    tenant.overdrawn = std::clamp(-tenant.level - tenant.budget.debt(), 0.0, tenant.overdrawn);
 }
 
 void Allocator::count(Tenant& tenant, const Share& before, const Share& after) {
@@ -122,7 +126,7 @@
 
 bool Allocator::limit_binds(const Tenant& tenant, Time now) const {
     const double left = tenant.level + tenant.lent;
-    return tenant.asked > nearly_all * tenant.budget.fill && left < scarce * (tenant.lent + room(tenant, now));
+    return tenant.asked > overload * tenant.budget.fill && left < scarce * (tenant.lent + room(tenant, now));
 }
 
 // By demand. What others have is not taken from them here: it is free once they have said that they have less.
@@ -140,9 +144,11 @@
     const double part = tenant.asked > 0 ? share.asked / tenant.asked : 0;
     const bool binds = limit_binds(tenant, now);
     LentLease lent;
-    const double may_be_held = std::min(budget.lent_usually(), tenant.lent + room(tenant, now));
+    // A part of what there is stays in the pool, for requests larger than what their proxies hold.
+    const double may_be_held = std::min(budget.lent_usually(), held_part * std::max(0.0, tenant.level + tenant.lent));
     lent.target = std::min(may_be_held * part, share.asked * held_for.s);
-    lent.threshold = binds ? lent.target * threshold_part : 0;
+    const double usual = std::min(budget.lent_usually() * part, share.asked * held_for.s);
+    lent.threshold = binds ? std::min(usual * threshold_part, lent.target * most_threshold_part) : 0;
     lent.overload = budget.fill > 0 ? tenant.asked / budget.fill : 0;
     const double may_be_lent = std::max(0.0, budget.lent() - tenant.lent);
     const double available = std::max(0.0, tenant.level);
@@ -255,7 +261,8 @@
     for (const auto& [name, tenant] : tenants_) {
         const auto& budget = tenant.budget;
         const double rest = rounding * budget.depth + 1e-6;
-        if (tenant.level < -budget.debt() - rest) return "tenant " + name + ": more is lent ahead than may be";
+        if (tenant.level < -budget.debt() - tenant.overdrawn - rest)
+            return "tenant " + name + ": more is lent ahead than may be";
         if (tenant.level > 0 && tenant.level + tenant.lent > budget.pool() + rest)
             return "tenant " + name + ": the pool and what is lent are more than may be";
         double lent = 0;
--- a/src/leases/allocator.hpp
+++ b/src/leases/allocator.hpp
@@ -64,8 +64,9 @@
     struct Tenant {
         Limit limit;
         Budget budget;
-        double level = 0;   // units in the pool
-        double fill = 0;    // units a second
+        double level = 0;       // units in the pool
+        double overdrawn = 0;   // below what may be lent ahead, since the limit was lowered
+        double fill = 0;        // units a second
         Time filled = long_ago, filled_until = long_ago;
         // Of what holders said when this allocator first heard of them: what they held, and when any of them last used units.
         double first_reported = 0;
--- a/tests/system/leases_test.cpp
+++ b/tests/system/leases_test.cpp
@@ -546,6 +546,26 @@
     CHECK_FALSE(pair.allocator.violated_invariant());
 }
 
+TEST_CASE("a lower limit while units are lent ahead is no violation, and nothing more is lent ahead of it") {
+    Pair pair;
+    const auto budget = budget_of(pair.limit, pair.rule);
+    pair.use(0.3 * budget.depth);
+    const double all = pair.holder.standing(tenant)->held + pair.allocator.amounts(tenant)->level;
+    pair.holder.request(tenant, all + 0.9 * budget.debt(), 2, patience, pair.now);
+    const auto reply = pair.asked();
+    REQUIRE(reply);
+    pair.holder.apply(*reply, pair.now);
+    REQUIRE(pair.allocator.amounts(tenant)->level < -0.5 * budget.debt());
+    pair.allocator.limits({{tenant, {60, 0}}}, pair.now);
+    CHECK_FALSE(pair.allocator.violated_invariant());
+    const double lent = pair.allocator.amounts(tenant)->lent;
+    pair.holder.request(tenant, budget.debt(), 1000, patience, pair.now);
+    pair.asked();
+    CHECK(pair.allocator.amounts(tenant)->lent <= lent);
+    pair.pass(Span{3});
+    CHECK_FALSE(pair.allocator.violated_invariant());
+}
+
 TEST_CASE("a refusal is at once where no allocator can be asked") {
     Holder holder{{"edge-1", 1}, {}, Time{5}};
     const auto decision = holder.request(tenant, 10, 1, patience, Time{5});
