Half of the room that is of no use beyond three seconds of the rate goes to the rate

Cause: small tenants whose slack is several times their rate had room for six seconds and a fill of the rate alone; a fleet that has just lost machines asks for a little more than that for seconds, and was refused what the rule allows. Change: budget_of; depth and fill still add up to what the rule allows in a window.

--- a/src/leases/limit.hpp
+++ b/src/leases/limit.hpp
@@ -40,12 +40,16 @@
 };
 
 inline Budget budget_of(const Limit& limit, const LimitRule& rule) {
-    // Where the rule allows next to nothing beyond the rate, a part of the rate is given up for room to lend.
+    // Where the rule allows next to nothing beyond the rate, a part of the rate is given up for room to lend. Where it
+    // allows much more than is of use as room, a half of the rest is for the rate.
     constexpr double least_depth = 0.15;   // of the allowance
+    constexpr double useful_depth = 3;     // seconds of the rate
     const double window = std::max(rule.window.s, 1e-3);
     const double allowance = (limit.rate * window + limit.burst) * (1 + rule.over) + rule.slack;
+    const double beyond = allowance - limit.rate * window;
+    const double spare = std::max(0.0, beyond - useful_depth * limit.rate);
     Budget budget;
-    budget.depth = std::max(allowance - limit.rate * window, least_depth * allowance);
+    budget.depth = std::max(beyond - spare / 2, least_depth * allowance);
     budget.fill = (allowance - budget.depth) / window;
     return budget;
 }
