Sight: the log tells of a proxy's stop and of the answers it cuts, with the cause

Cause: of four hypotheses on LOST no two could be told apart by the log, which had neither SIGTERM nor cuts. Change: lines for SIGTERM, SIGHUP, closed listeners and the end; CutReport counts cut answers by cause and logs one a second.

--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -66,6 +66,7 @@
       table_({}),
       leases_({context_.settings.node_name, seed}, {}, context_.started),
       quota_report_(context_.metrics, [](const std::string& line) { log_info() << line; }),
+      cut_report_(context_.metrics, [](const std::string& line) { log_info() << line; }),
       front_(context_, {[this](Client& client, RequestReader& reader) { arrived(client, reader); },
                         [this](Request& request) { client_left(request); },
                         [this](Request& request) { hosts_.resume_reading(request); },
@@ -270,7 +271,7 @@
     auto* request = find(call);
     if (!request || !request->client) return;
     auto& client = *std::exchange(request->client, nullptr);
-    if (request->answering) return front_.abort(client);
+    if (request->answering) return cut(client, *request, CutCause::host_failed);
     if (request->last_failure.status) {
         const auto& reply = request->last_failure;
         return front_.answer(client, reply.status, reply.fields, reply.body);
@@ -282,10 +283,17 @@
     auto* request = find(call);
     if (!request || !request->client) return;
     auto& client = *std::exchange(request->client, nullptr);
-    if (request->answering) return front_.abort(client);
+    const bool late = context_.now() >= request->deadline;
+    if (request->answering) return cut(client, *request, late ? CutCause::out_of_time : CutCause::host_failed);
     const auto& reply = request->last_failure;
     if (reply.status) return front_.answer(client, reply.status, reply.fields, reply.body);
-    front_.refuse(client, context_.now() >= request->deadline ? 504 : 502);
+    front_.refuse(client, late ? 504 : 502);
+}
+
+void Proxy::cut(Client& client, const Request& request, CutCause cause) {
+    const auto now = context_.now();
+    cut_report_.note(cause, field_value(request.fields, "X-Request-Id"), now - request.arrived, now);
+    front_.abort(client);
 }
 
 // Hosts.
@@ -429,6 +437,7 @@
     while (const int number = context_.home.next_signal(connection.fd)) {
         if (number == SIGTERM || number == SIGINT) stop();
         if (number != SIGHUP) continue;
+        log_info() << "SIGHUP: the settings are read again";
         if (auto settings = reread_()) {
             context_.settings.seeds = settings->seeds;
             subscription_.settings_changed();
@@ -436,6 +445,11 @@
     }
 }
 
+void Proxy::log_progress(const char* step) const {
+    log_info() << step << ": " << requests_.size() << " requests under way, " << front_.connections()
+               << " clients connected";
+}
+
 // Ready no more at once; after the platform has seen it, no new connections; then the rest is answered.
 void Proxy::stop() {
     if (phase_ != Phase::serving) return;
@@ -443,6 +457,7 @@
     stopped_at_ = context_.now();
     const Time unasked = stopped_at_ + std::min(unasked_after, context_.settings.grace * 0.4);
     front_.stop(unasked + on_its_way);
+    log_progress("told to stop");
     context_.loop.set(*signals_, unasked);
 }
 
@@ -451,9 +466,14 @@
         phase_ = Phase::closing;
         front_.close_listeners();
         metrics_listener_.close();
+        log_progress("listeners are closed");
     }
     const bool late = context_.now() >= stopped_at_ + context_.settings.grace - kept_back;
     if (late || (requests_.empty() && front_.connections() == 0)) {
+        log_progress("ends");
+        for (auto& [id, request] : requests_)
+            if (request->client && request->answering)
+                cut(*std::exchange(request->client, nullptr), *request, CutCause::process_ends);
         subscription_.stop();
         phase_ = Phase::over;
         return;
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -9,6 +9,7 @@
 #include "leases/holder.hpp"
 #include "registry/host_table.hpp"
 #include "roles/proxy/context.hpp"
+#include "roles/proxy/cut_report.hpp"
 #include "roles/proxy/front.hpp"
 #include "roles/proxy/hosts.hpp"
 #include "roles/proxy/metrics_listener.hpp"
@@ -43,6 +44,7 @@
     void client_left(Request& request);
     void refuse(CallId call, Span retry_after);
     void fail(CallId call);
+    void cut(Client& client, const Request& request, CutCause cause);   // an answer that has begun
 
     // Hosts.
     void began(Request& request, HostConnection& connection);
@@ -66,6 +68,7 @@
     void tick();
     void settle();
     void stop();
+    void log_progress(const char* step) const;   // of the stop
     bool ready() const;
     Request* find(CallId call);
     void forget_if_over(Request& request);
@@ -78,6 +81,7 @@
     leases::Holder leases_;
     Time leases_wake_ = long_ago;   // a wake for requests that wait for units is set for this time
     QuotaReport quota_report_;
+    CutReport cut_report_;
     Front front_;
     Hosts hosts_;
     Subscription subscription_;
--- /dev/null
+++ b/tests/system/cut_report_test.cpp
@@ -0,0 +1,36 @@
+// What a proxy tells of answers that it cuts: counters by cause, and a line a second for each.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "roles/proxy/cut_report.hpp"
+
+using namespace myrtleroute;
+using proxy::CutCause;
+using proxy::CutReport;
+
+namespace {
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}   // namespace
+
+TEST_CASE("answers that are cut are counted by cause, and one line a second says which and why") {
+    metrics::Registry registry;
+    std::vector<std::string> lines;
+    CutReport report(registry, [&](const std::string& line) { lines.push_back(line); });
+    CHECK(contains(registry.render(), "myrtleroute_answers_cut_total{cause=\"process_ends\"} 0\n"));
+    report.note(CutCause::process_ends, "r1", Span{5.25}, Time{10});
+    report.note(CutCause::process_ends, "r2", Span{6}, Time{10.5});
+    report.note(CutCause::host_failed, "r3", Span{1}, Time{10.5});
+    report.note(CutCause::process_ends, "r4", Span{7}, Time{11});
+    REQUIRE(lines.size() == 3);
+    CHECK(lines[0] == "answer to request r1 cut after 5.250 s: process_ends; 0 more since the last such line");
+    CHECK(lines[1] == "answer to request r3 cut after 1.000 s: host_failed; 0 more since the last such line");
+    CHECK(lines[2] == "answer to request r4 cut after 7.000 s: process_ends; 1 more since the last such line");
+    const auto figures = registry.render();
+    CHECK(contains(figures, "myrtleroute_answers_cut_total{cause=\"process_ends\"} 3\n"));
+    CHECK(contains(figures, "myrtleroute_answers_cut_total{cause=\"host_failed\"} 1\n"));
+    CHECK(contains(figures, "myrtleroute_answers_cut_total{cause=\"out_of_time\"} 0\n"));
+}
