--- /dev/null
+++ b/tests/system/proxy_stop_test.cpp
@@ -0,0 +1,119 @@
+// What becomes of requests around a proxy's SIGTERM: none is read without an answer, and none is begun that the process
+// would not live to answer.
+#include <doctest/doctest.h>
+
+#include "proxy_world.hpp"
+
+using namespace myrtleroute;
+using testing::ProxyWorld;
+
+namespace {
+
+// A stream's route may hold a request for longer than a stopping process lives.
+const std::string long_stream =
+    R"({"hostname":"h.example","pathPrefix":"/long/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":1000,)"
+    R"("service":"s","maxAttempts":3,"resumable":true})";
+const std::string routes = ProxyWorld::route("idempotent") + "," + ProxyWorld::route("non_idempotent") + "," +
+                           ProxyWorld::route("streaming", 3, true) + "," + long_stream;
+
+constexpr Span asked_within{0.05};
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+std::string stream_request(const std::string& id, int tokens_out) {
+    return "POST /long/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: 12000\r\nX-Token-Count: 100," + std::to_string(tokens_out) +
+           "\r\nContent-Length: 1\r\n\r\nx";
+}
+
+// The host that was asked begins the stream after `first`, and ends it after `rest`.
+void serve_stream(ProxyWorld& world, const std::string& id, Span first, Span rest) {
+    auto* host = world.asked();
+    REQUIRE(host);
+    host->take();
+    world.pass(first);
+    host->send(ProxyWorld::stream_head(id) + ProxyWorld::event(1));
+    world.pass(rest);
+    host->send(ProxyWorld::event(2) + "0\r\n\r\n");
+    world.pass(asked_within);
+}
+
+// A stream of so many tokens that takes so long, on a connection of its own.
+void run_stream(ProxyWorld& world, const std::string& id, int tokens_out, Span first, Span rest) {
+    auto& client = world.client();
+    client.send(stream_request(id, tokens_out));
+    world.pass(asked_within);
+    serve_stream(world, id, first, rest);
+    REQUIRE(contains(client.take(), "0\r\n\r\n"));
+}
+
+}   // namespace
+
+TEST_CASE(
+    "a request that crosses the end of its connection is left unread, so that its client knows that nothing was done") {
+    for (const bool idle_for_long : {false, true}) {
+        CAPTURE(idle_for_long);
+        ProxyWorld world;
+        world.tell(routes);
+        auto& client = world.client();
+        if (idle_for_long) {
+            world.pass(Span{90});   // the limit of idle connections is over
+        } else {
+            world.signal(SIGTERM);
+            world.pass(Span{2.4});   // the listeners are closed, and the idle connection with them
+        }
+        REQUIRE(client.ended);
+        client.send(ProxyWorld::request("idempotent", "r1"));
+        world.pass(Span{1.5});
+        CHECK(client.broken);   // reset over bytes that nobody has read
+        CHECK(client.take().empty());
+        CHECK(world.arrivals("r1") == 0);
+    }
+}
+
+TEST_CASE("after SIGTERM a request that would outlast the process is refused at once, and a shorter one is served") {
+    ProxyWorld world;
+    world.tell(routes);
+    run_stream(world, "r0", 300, Span{0.5}, Span{3});
+    world.signal(SIGTERM);
+    world.pass(Span{2.2});   // five seconds are left
+    auto& longer = world.client();
+    longer.send(stream_request("r1", 900));
+    world.pass(asked_within);
+    const auto refusal = longer.take();
+    CHECK(contains(refusal, "HTTP/1.1 503 "));
+    CHECK(contains(refusal, "Retry-After: "));
+    CHECK(contains(refusal, "Connection: close"));
+    CHECK(world.arrivals("r1") == 0);
+    auto& shorter = world.client();
+    shorter.send(stream_request("r2", 100));
+    world.pass(asked_within);
+    serve_stream(world, "r2", Span{0.5}, Span{1});
+    CHECK(contains(shorter.take(), "0\r\n\r\n"));
+}
+
+TEST_CASE("at the end of the grace what is not answered yet gets an answer, and a stream may still end") {
+    ProxyWorld world;
+    world.tell(routes);
+    auto& waits = world.client();
+    waits.send(stream_request("r1", 100));
+    world.pass(asked_within);
+    REQUIRE(world.asked());
+    world.asked()->take();   // it says nothing
+    auto& streams = world.client();
+    streams.send(stream_request("r2", 100));
+    world.pass(asked_within);
+    auto* host = world.asked();
+    REQUIRE(host);
+    host->take();
+    host->send(ProxyWorld::stream_head("r2") + ProxyWorld::event(1));
+    world.signal(SIGTERM);
+    world.pass(Span{7.6});
+    const auto answer = waits.take();
+    CHECK((contains(answer, "HTTP/1.1 502 ") || contains(answer, "HTTP/1.1 504 ")));
+    host->send(ProxyWorld::event(2) + "0\r\n\r\n");
+    world.pass(asked_within);
+    CHECK(contains(streams.take(), "0\r\n\r\n"));
+    world.pass(Span{0.3});
+    CHECK(world.is_over());
+}
