A request that crosses the end of its connection is left unread

Cause: a connection whose sending side is closed was read for a second more, and what came was dropped: a whole request was read and neither answered nor refused. Change: such a connection is no longer read; over unread bytes its close resets it, and the client may send again.

--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -114,7 +114,6 @@
     if (connection.listens) return accept(static_cast<Listener&>(connection));
     auto& client = static_cast<Client&>(connection);
     if (client.ended || client.error) return end(client, client.ended ? Why::peer_closed : Why::peer_reset);
-    if (client.lingers) return client.in.drop(client.in.size());
     read(client);
 }
 
@@ -226,9 +225,10 @@
     if (!client.in.empty()) read(client);
 }
 
-// Our side ends first: closing with bytes unread would reset the connection and the answer with it.
+// Our side ends first, and the connection is closed once the last answer has had time to be read: closing resets it where
+// bytes are unread. A request that crosses the end stays unread, so that its client knows that nothing was done.
 void Front::part(Client& client) {
-    client.lingers = client.last = true;
+    client.lingers = client.last = client.deaf = true;
     client.in.drop(client.in.size());
     context_.home.end_sending(client.fd);
     context_.loop.set(client, context_.now() + linger);
