A proxy's end in three steps: what waits is answered, and streams run on until just before SIGKILL

Cause: 0.6 s before the end of its grace a proxy ended with all connections: requests whose answer had not begun got none, and streams that would have ended in that time were cut. Change: Shutdown, a state machine of the clock alone: listeners close, then what waits gets a failure (503 where it was sent to no host), then the rest is cut 0.15 s before the end.

--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -13,10 +13,9 @@
 // Pools' numbers that no pool has.
 constexpr uint64_t tick_cookie = 127ULL << 53, leases_cookie = 126ULL << 53;
 constexpr int exit_fault = 2;
-constexpr Span unasked_after{2.3};   // the platform has seen two refusals of /ready by then
-constexpr Span on_its_way{0.3};      // what clients sent before they saw their connection end is taken until then
-constexpr Span kept_back{0.6};       // before the end of the grace: the last answers are written
 constexpr Span refused_again{0.2};
+constexpr Span come_back{0.02};   // a request that this process would not live to answer may go to another one at once
+constexpr Span shutdown_every{0.05};
 constexpr Span hurry_every{0.05};   // asks for leases that are wanted soon
 constexpr double rounding = 1e-9;
 constexpr double answer_margin = 0.01;   // of the time left, so that an answer still reaches the client
@@ -113,7 +112,8 @@
                                }}),
       metrics_listener_(context_, [this] { return figures(); }),
       held_bytes_cover_bodies_(context_.invariants.named("held_bytes_cover_bodies")),
-      used_units_were_lent_(context_.invariants.named("used_units_were_lent")) {}
+      used_units_were_lent_(context_.invariants.named("used_units_were_lent")),
+      shutdown_(context_.settings.grace) {}
 
 int Proxy::run() {
     if (!start()) return exit_fault;
@@ -139,7 +139,7 @@
     context_.loop.round([this](uint64_t cookie) { woke(cookie); }, [this] { settle(); });
 }
 
-bool Proxy::ready() const { return phase_ == Phase::serving && context_.table && hosts_known_; }
+bool Proxy::ready() const { return !shutdown_.begun() && context_.table && hosts_known_; }
 
 Request* Proxy::find(CallId call) {
     const auto it = requests_.find(call);
@@ -180,12 +180,12 @@
     request.arrived = context_.now();
     request.prompt = routing::read_prompt(field_value(reader.fields, "X-Token-Count"),
                                           field_value(reader.fields, "X-Prompt-Prefix"));
-    const auto decision = limit(request);
-    if (decision.verdict == leases::Verdict::refused) return turn_away(client, request, decision);
     const auto told = wire::decimal(field_value(reader.fields, "X-Deadline-Ms"));
     Span patience = request.route->timeout;
     if (told && *told > 0) patience = std::min(patience, Span{*told / 1e3} * (1 - answer_margin));
     request.deadline = request.arrived + patience;
+    const auto decision = limit(request);
+    if (decision.verdict == leases::Verdict::refused) return turn_away(client, request, decision);
     request.events = routing::EventStream(std::string(field_value(reader.fields, "Last-Event-Id")));
     request.method = std::move(reader.method);
     request.target = std::move(reader.target);
@@ -290,6 +290,15 @@
     front_.refuse(client, late ? 504 : 502);
 }
 
+void Proxy::give_up(Request& request) {
+    const bool may_have_run = !request.attempts.empty();
+    if (may_have_run)
+        front_.refuse(*request.client, context_.now() >= request.deadline ? 504 : 502);
+    else
+        front_.refuse(*request.client, 503, come_back);
+    client_left(request);
+}
+
 void Proxy::cut(Client& client, const Request& request, CutCause cause) {
     const auto now = context_.now();
     cut_report_.note(cause, field_value(request.fields, "X-Request-Id"), now - request.arrived, now);
@@ -301,7 +310,8 @@
 void Proxy::began(Request& request, HostConnection& connection) {
     const auto now = context_.now();
     pools_[request.service]->balancer().stream_began(now, request.id, connection.number);
-    if (!request.client || std::exchange(request.answering, true)) return;
+    if (!request.client || request.answering) return;
+    request.answering = true;
     front_.begin(*request.client, connection.reader.status, connection.reader.fields);
 }
 
@@ -452,33 +462,41 @@
 
 // Ready no more at once; after the platform has seen it, no new connections; then the rest is answered.
 void Proxy::stop() {
-    if (phase_ != Phase::serving) return;
-    phase_ = Phase::leaving;
-    stopped_at_ = context_.now();
-    const Time unasked = stopped_at_ + std::min(unasked_after, context_.settings.grace * 0.4);
-    front_.stop(unasked + on_its_way);
+    if (shutdown_.begun()) return;
+    shutdown_.begin(context_.now());
+    front_.stop(shutdown_.take_until());
     log_progress("told to stop");
-    context_.loop.set(*signals_, unasked);
+    context_.loop.set(*signals_, shutdown_.listeners_end());
 }
 
 void Proxy::due(memory::Connection& timer) {
-    if (phase_ == Phase::leaving) {
-        phase_ = Phase::closing;
-        front_.close_listeners();
-        metrics_listener_.close();
-        log_progress("listeners are closed");
+    switch (shutdown_.next(context_.now())) {
+        case Shutdown::Step::none: break;
+        case Shutdown::Step::close_listeners:
+            front_.close_listeners();
+            metrics_listener_.close();
+            log_progress("listeners are closed");
+            break;
+        case Shutdown::Step::answer_waiting: answer_waiting(); break;
+        case Shutdown::Step::cut: return end();
     }
-    const bool late = context_.now() >= stopped_at_ + context_.settings.grace - kept_back;
-    if (late || (requests_.empty() && front_.connections() == 0)) {
-        log_progress("ends");
-        for (auto& [id, request] : requests_)
-            if (request->client && request->answering)
-                cut(*std::exchange(request->client, nullptr), *request, CutCause::process_ends);
-        subscription_.stop();
-        phase_ = Phase::over;
-        return;
-    }
-    context_.loop.set(timer, context_.now() + Span{0.05});
+    if (requests_.empty() && front_.connections() == 0) return end();
+    context_.loop.set(timer, context_.now() + shutdown_every);
+}
+
+void Proxy::answer_waiting() {
+    std::vector<CallId> waiting;
+    for (const auto& [id, request] : requests_)
+        if (request->client && !request->answering) waiting.push_back(id);
+    for (const auto id : waiting) give_up(*find(id));
+}
+
+void Proxy::end() {
+    log_progress("ends");
+    for (auto& [id, request] : requests_)
+        if (request->client) cut(*std::exchange(request->client, nullptr), *request, CutCause::process_ends);
+    subscription_.stop();
+    over_ = true;
 }
 
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -15,6 +15,7 @@
 #include "roles/proxy/metrics_listener.hpp"
 #include "roles/proxy/quota_report.hpp"
 #include "roles/proxy/service_pool.hpp"
+#include "roles/proxy/shutdown.hpp"
 #include "roles/proxy/subscription.hpp"
 
 namespace myrtleroute::proxy {
@@ -29,7 +30,7 @@
     // The parts of `run`, for a driver of its own.
     bool start();   // false: it can't listen, and the log says why
     void round();   // waits until something is due or has come, and hands it on
-    bool over() const { return phase_ == Phase::over; }
+    bool over() const { return over_; }
 
 private:
     // Clients.
@@ -45,6 +46,7 @@
     void refuse(CallId call, Span retry_after);
     void fail(CallId call);
     void cut(Client& client, const Request& request, CutCause cause);   // an answer that has begun
+    void give_up(Request& request);   // whose answer has not begun: its client gets a failure
 
     // Hosts.
     void began(Request& request, HostConnection& connection);
@@ -68,6 +70,8 @@
     void tick();
     void settle();
     void stop();
+    void answer_waiting();                       // requests whose answer has not begun
+    void end();                                  // answers that are not whole are cut
     void log_progress(const char* step) const;   // of the stop
     bool ready() const;
     Request* find(CallId call);
@@ -93,8 +97,8 @@
     memory::Connection* signals_ = nullptr;
     bool hosts_known_ = false;
     bool control_current_ = false;   // the control node that this proxy hears is in touch with a leader
-    enum class Phase { serving, leaving, closing, over } phase_ = Phase::serving;
-    Time stopped_at_;
+    Shutdown shutdown_;
+    bool over_ = false;
 };
 
 }   // namespace myrtleroute::proxy
--- /dev/null
+++ b/tests/system/shutdown_steps_test.cpp
@@ -0,0 +1,64 @@
+// The steps of a proxy's end, by a clock that the test turns.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "roles/proxy/shutdown.hpp"
+
+using namespace myrtleroute;
+using proxy::Shutdown;
+
+namespace {
+
+const char* name_of(Shutdown::Step step) {
+    switch (step) {
+        case Shutdown::Step::none: return "none";
+        case Shutdown::Step::close_listeners: return "close_listeners";
+        case Shutdown::Step::answer_waiting: return "answer_waiting";
+        case Shutdown::Step::cut: return "cut";
+    }
+    return "";
+}
+
+// All steps, asked for each so many milliseconds, with the time since SIGTERM in milliseconds.
+std::vector<std::string> steps(Span grace, int every) {
+    constexpr Time begun{50};
+    constexpr double rounding = 1e-9;
+    Shutdown shutdown(grace);
+    shutdown.begin(begun);
+    std::vector<std::string> told;
+    for (int at = 0; at < grace.s * 1000; at += every) {
+        const Time now = begun + Span{at / 1000.0 + rounding};
+        for (auto step = shutdown.next(now); step != Shutdown::Step::none; step = shutdown.next(now))
+            told.push_back(std::to_string(at) + " " + name_of(step));
+    }
+    return told;
+}
+
+using Steps = std::vector<std::string>;
+
+}   // namespace
+
+TEST_CASE("a proxy's end has three steps, each once, and all before the end of the grace") {
+    CHECK(steps(Span{8}, 50) == Steps{"2300 close_listeners", "7400 answer_waiting", "7850 cut"});
+    CHECK(steps(Span{30}, 50) == Steps{"2300 close_listeners", "29400 answer_waiting", "29850 cut"});
+    CHECK(steps(Span{1}, 10) == Steps{"400 close_listeners", "900 answer_waiting", "980 cut"});
+}
+
+TEST_CASE("steps of a process that was held up are told in their order, one after the other") {
+    Shutdown shutdown(Span{8});
+    CHECK(shutdown.next(Time{100}) == Shutdown::Step::none);   // it has not begun
+    shutdown.begin(Time{100});
+    CHECK(shutdown.next(Time{107.9}) == Shutdown::Step::close_listeners);
+    CHECK(shutdown.next(Time{107.9}) == Shutdown::Step::answer_waiting);
+    CHECK(shutdown.next(Time{107.9}) == Shutdown::Step::cut);
+}
+
+TEST_CASE("requests are taken for a little longer than connections, and answers end before the grace") {
+    Shutdown shutdown(Span{8});
+    shutdown.begin(Time{100});
+    CHECK(shutdown.listeners_end() < shutdown.take_until());
+    CHECK(shutdown.take_until() < shutdown.answers_end());
+    CHECK(shutdown.answers_end() < Time{108});
+}
