--- a/tests/system/proxy_stop_test.cpp
+++ b/tests/system/proxy_stop_test.cpp
@@ -117,3 +117,24 @@
     world.pass(Span{0.3});
     CHECK(world.is_over());
 }
+
+TEST_CASE("a stream that a host begins too late for the process gets a failure, not half an answer") {
+    ProxyWorld world(1);
+    world.tell(routes);
+    run_stream(world, "r0", 300, Span{0.5}, Span{3});
+    auto& client = world.client();
+    client.send(stream_request("r1", 300));
+    world.pass(asked_within);
+    auto* host = world.asked();
+    REQUIRE(host);
+    host->take();
+    world.signal(SIGTERM);
+    world.pass(Span{5.5});
+    host->send(ProxyWorld::stream_head("r1") + ProxyWorld::event(1));
+    world.pass(asked_within);
+    const auto answer = client.take();
+    CHECK(contains(answer, "HTTP/1.1 502 "));
+    CHECK(contains(answer, "Connection: close"));
+    CHECK_FALSE(contains(answer, "data: e1"));
+    CHECK(host->ended);   // its work is given up
+}
