While it stops a proxy refuses streams that may outlast it, by their deadlines alone

Cause: the longest of the last seconds, as an estimate, refused seven of ten streams where one or two in a hundred would have been cut, and still let six of forty cuts happen; tokens told are the same for all requests of a kind, and the times of streams are spread like chance, so no estimate tells them apart. A stream whose deadline lies behind the end of the process is refused with 503 and Retry-After; what is not a stream is taken as before and gets a failure at the end at worst.

--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -15,7 +15,6 @@
 constexpr int exit_fault = 2;
 constexpr Span refused_again{0.2};
 constexpr Span come_back{0.02};   // a request that this process would not live to answer may go to another one at once
-constexpr double time_margin = 1.25;   // answers may take so many times the longest of the last seconds
 constexpr Span shutdown_every{0.05};
 constexpr Span hurry_every{0.05};   // asks for leases that are wanted soon
 constexpr double rounding = 1e-9;
@@ -205,18 +204,10 @@
     wait_for_leases();
 }
 
-// Where nothing is known of such answers, one may take until its deadline.
+// A stream may take until its deadline, and once it has begun it can't be ended otherwise than by cutting it. What is not
+// a stream gets a failure at the end, where its host has not answered by then.
 bool Proxy::outlasts_process(const Request& request) const {
-    if (!shutdown_.begun() || request.deadline <= shutdown_.answers_end()) return false;
-    const auto longest = answer_times_.longest(*request.route, request.prompt.tokens_out, context_.now());
-    return !longest || request.arrived + longest->total() * time_margin > shutdown_.answers_end();
-}
-
-bool Proxy::cannot_end(const Request& request) const {
-    if (!shutdown_.begun() || request.deadline <= shutdown_.answers_end()) return false;
-    const auto now = context_.now();
-    const auto longest = answer_times_.longest(*request.route, request.prompt.tokens_out, now);
-    return longest && now + longest->until_whole > shutdown_.answers_end();
+    return shutdown_.begun() && request.streams() && request.deadline > shutdown_.answers_end();
 }
 
 // Units are used at the moment at which the request is let through: the client has sent it, and no host has it yet.
@@ -326,10 +317,7 @@
 void Proxy::began(Request& request, HostConnection& connection) {
     const auto now = context_.now();
     pools_[request.service]->balancer().stream_began(now, request.id, connection.number);
-    if (!request.client || request.answering) return;
-    if (cannot_end(request)) return give_up(request);
-    request.answering = true;
-    request.began_at = now;
+    if (!request.client || std::exchange(request.answering, true)) return;
     front_.begin(*request.client, connection.reader.status, connection.reader.fields);
 }
 
@@ -342,11 +330,6 @@
 void Proxy::answered(Request& request, const Reply& reply, bool streamed) {
     if (!request.client) return;
     auto& client = *std::exchange(request.client, nullptr);
-    const auto now = context_.now();
-    const Time began_at = request.answering ? request.began_at : now;
-    if (reply.status < 300)
-        answer_times_.note(*request.route, request.prompt.tokens_out, {began_at - request.arrived, now - began_at},
-                           now);
     const std::string rest = request.streams() ? request.events.rest() : reply.body;
     if (streamed || request.answering) {
         front_.piece(client, rest);
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -17,7 +17,6 @@
 #include "roles/proxy/service_pool.hpp"
 #include "roles/proxy/shutdown.hpp"
 #include "roles/proxy/subscription.hpp"
-#include "routing/answer_times.hpp"
 
 namespace myrtleroute::proxy {
 
@@ -37,12 +36,9 @@
     // Clients.
     void arrived(Client& client, RequestReader& reader);
     int entitle(Request& request, const RequestReader& reader) const;   // 0, or the status of a refusal
-    // Whether its answer might not be whole before the process ends: of a request that comes, and of one whose answer
-    // is about to begin.
-    bool outlasts_process(const Request& request) const;
-    bool cannot_end(const Request& request) const;
-    leases::Decision limit(const Request& request);   // by its tenant's limit
-    void admit(Request& request);                     // to the pool of its service
+    bool outlasts_process(const Request& request) const;                // its answer might not be whole before the end
+    leases::Decision limit(const Request& request);                     // by its tenant's limit
+    void admit(Request& request);                                       // to the pool of its service
     void turn_away(Client& client, const Request& request, const leases::Decision& decision);
     void wait_for_leases();
     void ask_for_leases();
@@ -102,7 +98,6 @@
     memory::Connection* signals_ = nullptr;
     bool hosts_known_ = false;
     bool control_current_ = false;   // the control node that this proxy hears is in touch with a leader
-    routing::AnswerTimes answer_times_;
     Shutdown shutdown_;
     bool over_ = false;
 };
--- a/src/roles/proxy/request.hpp
+++ b/src/roles/proxy/request.hpp
@@ -51,7 +51,6 @@
     std::vector<HostConnection*> attempts;   // by number; null once one has ended
     int open_attempts = 0;                   // whose end is still to be told to the balancer
     bool answering = false;                  // the head of the answer has gone out
-    Time began_at;                           // when it did
     routing::EventStream events;
     Reply last_failure;   // a host's own failure, for when nothing better comes; status 0 = none
 
