A SIGHUP that comes while a process starts does not end it

Cause: until a role hears signals, SIGHUP has its default action. Found while reloads and restarts were put in series. Change: the program ignores it from its first line on; the settings are read after that.

--- a/src/roles/main.cpp
+++ b/src/roles/main.cpp
@@ -1,6 +1,7 @@
 // The program of the router fleet: `myrtlerouted ROLE`, where the settings file is named by MYRTLEROUTE_SETTINGS.
 #include <tclap/CmdLine.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -91,6 +92,7 @@
 }   // namespace
 
 int main(int argc, char** argv) {
+    std::signal(SIGHUP, SIG_IGN);   // until a role hears signals itself: the settings are still to be read
     try {
         TCLAP::CmdLine command("Router fleet for a language model. Roles run until SIGTERM.", ' ', version);
         std::vector<std::string> words{"proxy", "control", "check"};
