Soak: clients that keep their connections, and planned work alone in series

Cause: the soak's clients asked once a connection, its answers took milliseconds, and a request without an answer was no violation, so it could not see LOST around stops, reloads and changes. What the platform does has a file of its own.

--- a/src/soak/checker.cpp
+++ b/src/soak/checker.cpp
@@ -59,6 +59,24 @@
     if (request.runs.empty()) report(Rule::mixed, now, "no host ran what led to the" + of);
 }
 
+void Checker::cut(const std::string& id, const char* how, double now) {
+    auto& request = requests_[by_id_.at(id)];
+    request.answered_at = now;
+    ++cuts_;
+    if (!planned_only_) return;
+    report(Rule::lost, now,
+           id + ", sent to machine " + std::to_string(request.sent.proxy) + " " +
+               std::to_string(now - request.sent_at) + " s before, was cut " + how);
+}
+
+void Checker::unread(const std::string& id, double now) {
+    auto& request = requests_[by_id_.at(id)];
+    request.answered_at = now;
+    ++unread_;
+    if (!planned_only_ || request.runs.empty()) return;
+    report(Rule::lost, now, id + " has run, and its connection was reset");
+}
+
 void Checker::configuration_sent(uint64_t version, const Limits& limits, double now) {
     versions_.push_back({version, limits, now, {}});
 }
--- a/src/soak/checker.hpp
+++ b/src/soak/checker.hpp
@@ -47,12 +47,18 @@
 // Counts and judges. Everything is told with its time, in seconds of the run.
 class Checker {
 public:
-    explicit Checker(QuotaBounds bounds) : bounds_(bounds) {}
+    // `planned_only`: nothing but planned work befalls the fleet, so that every request that was read is answered.
+    explicit Checker(QuotaBounds bounds, bool planned_only = false) : bounds_(bounds), planned_only_(planned_only) {}
 
     void sent(const Sent& request, double now);
     void ran(const std::string& id, const std::string& tenant, double now);
     void got(const std::string& id, const Got& answer, double now);
 
+    // A connection ended without the whole answer: the proxy had read the request (`how` it ended follows "was cut"), or
+    // had not.
+    void cut(const std::string& id, const char* how, double now);
+    void unread(const std::string& id, double now);
+
     void configuration_sent(uint64_t version, const Limits& limits, double now);
     // From `in_force` on every proxy must have it; unset: not known to be so before the run ends.
     void configuration_in_force(uint64_t version, double in_force);
@@ -69,6 +75,8 @@
     std::string requests_text() const;   // a line of comma-separated values for each request
     size_t requests() const { return requests_.size(); }
     size_t served() const { return served_; }
+    size_t cuts() const { return cuts_; }
+    size_t left_unread() const { return unread_; }
 
 private:
     struct Request {
@@ -88,12 +96,13 @@
     void judge_refused(const Request& request);
 
     QuotaBounds bounds_;
+    bool planned_only_;
     std::vector<Request> requests_;   // in the order of their sending
     std::map<std::string, size_t> by_id_;
     std::vector<Version> versions_;
     std::vector<Violation> violations_;
     std::map<std::string, QuotaPeak> peaks_;
-    size_t served_ = 0;
+    size_t served_ = 0, cuts_ = 0, unread_ = 0;
 };
 
 // Names of counters in a metrics text (lines `name{labels} value`) that end in `_violations_total` and are above 0.
--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -9,13 +9,12 @@
 namespace myrtleroute::soak {
 namespace {
 
-constexpr int misses_until_out = 2;
 constexpr double least_prompt = 200, mean_prompt = 1000;   // tokens; a prompt is longer than the least by a random part
 constexpr double least_output = 20, most_output = 200;
 constexpr double mean_cost = least_prompt + mean_prompt + (least_output + most_output) / 2;
 constexpr double jumps[] = {0.3, 1, 4, 8};                // times the rate
 constexpr double shortest_phase = 4, longest_phase = 8;   // seconds between jumps
-constexpr Span ready_patience{0.9}, client_patience{4};
+constexpr Span client_patience{4};
 constexpr int deadline_ms = 3000;
 
 const RouteUse& pick_route(double share) {
@@ -26,63 +25,34 @@
     return routes[0];
 }
 
+}   // namespace
+
 std::string new_request_id(lab::Chance& chance) {
     char text[17];
     std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(chance.number()));
     return text;
 }
 
-}   // namespace
-
 const std::vector<Tenant>& tenants() {
     static const std::vector<Tenant> all{{modest_tenant, "key-modest", {30000, 45000}, 0.5, false, false},
                                          {"hot", "key-hot", {20000, 30000}, 6, false, false},
                                          {"jumping", "key-jumping", {20000, 30000}, 1, true, false},
-                                         {"moved", "key-moved", {20000, 30000}, 2, false, true}};
+                                         {"moved", "key-moved", {20000, 30000}, 2, false, true},
+                                         {kept_tenant, kept_key, {200000, 300000}, 0, false, false}};
     return all;
 }
 
-Clients::Clients(asio::io_context& context, Checker& checker, std::vector<ProxyAddresses> proxies, uint64_t seed,
+Clients::Clients(asio::io_context& context, Checker& checker, Platform& platform, uint64_t seed,
                  std::function<double()> now)
-    : context_(context), checker_(checker), chance_(seed, 0x636c69), now_(std::move(now)), ready_timer_(context) {
-    for (auto& proxy : proxies) proxies_.push_back({std::move(proxy), chance_.between(0.3, 2), misses_until_out});
-    for (const auto& tenant : tenants()) callers_.push_back({&tenant, tenant.demand, 0, asio::steady_timer(context)});
+    : context_(context), checker_(checker), platform_(platform), chance_(seed, 0x636c69), now_(std::move(now)) {
+    for (const auto& tenant : tenants())
+        if (tenant.demand > 0) callers_.push_back({&tenant, tenant.demand, 0, asio::steady_timer(context)});
 }
 
 void Clients::start() {
-    ask_ready();
     for (auto& caller : callers_) next_request(caller);
 }
 
-void Clients::ask_ready() {
-    for (auto& proxy : proxies_) {
-        const auto text = request_text("GET", "/ready", proxy.at.ready.text(), {{"Connection", "close"}}, "");
-        start_call(context_, {proxy.at.ready, text, ready_patience, {}, [&proxy](const HttpReply& reply) {
-                                  proxy.misses = reply.status == 200 ? 0 : proxy.misses + 1;
-                              }});
-    }
-    after(ready_timer_, 1, [this] { ask_ready(); });
-}
-
-// By the weights of those that are in; of all, should none be.
-size_t Clients::pick_proxy() {
-    const auto is_in = [](const Proxy& proxy) {
-        return proxy.misses < misses_until_out;
-    };
-    const bool some = std::any_of(proxies_.begin(), proxies_.end(), is_in);
-    double sum = 0;
-    for (const auto& proxy : proxies_)
-        if (!some || is_in(proxy)) sum += proxy.weight;
-    double left = chance_.share() * sum;
-    size_t last = 0;
-    for (size_t i = 0; i < proxies_.size() && left >= 0; ++i) {
-        if (some && !is_in(proxies_[i])) continue;
-        last = i;
-        left -= proxies_[i].weight;
-    }
-    return last;
-}
-
 void Clients::next_request(Caller& caller) {
     if (caller.tenant->jumps && now_() >= caller.drawn_until) {
         caller.demand = jumps[chance_.below(static_cast<int>(std::size(jumps)))];
@@ -100,8 +70,8 @@
     const auto id = new_request_id(chance_);
     const auto prompt = static_cast<int>(least_prompt + chance_.exponential(mean_prompt));
     const auto output = static_cast<int>(chance_.between(least_output, most_output));
-    const auto proxy = pick_proxy();
-    const auto& to = proxies_[proxy].at.front;
+    const auto proxy = platform_.pick_proxy();
+    const auto& to = platform_.front(proxy);
     const Fields fields{{"X-Request-Id", id},
                         {"X-Deadline-Ms", std::to_string(deadline_ms)},
                         {"Authorization", "Token " + tenant.key},
--- a/src/soak/clients.hpp
+++ b/src/soak/clients.hpp
@@ -10,6 +10,7 @@
 #include "lab/chance.hpp"
 #include "soak/checker.hpp"
 #include "soak/http_call.hpp"
+#include "soak/platform.hpp"
 
 namespace myrtleroute::soak {
 
@@ -25,6 +26,9 @@
 const std::vector<Tenant>& tenants();
 // The tenant that is always within its quota: what it is refused is no fault of its own.
 constexpr const char* modest_tenant = "modest";
+// The tenant of the clients that keep their connections (`KeptClients`).
+constexpr const char* kept_tenant = "kept";
+constexpr const char* kept_key = "key-kept";
 
 // A route as clients use it and the operator configures it.
 struct RouteUse {
@@ -36,45 +40,34 @@
 };
 constexpr RouteUse routes[] = {{"/plain/", "idempotent", "plain", true, false, 0.3},
                                {"/once/", "non_idempotent", "plain", false, false, 0.3},
-                               {"/stream/", "streaming", "model", false, true, 0.4}};
+                               {"/stream/", "streaming", "model", false, true, 0.4},
+                               {"/long/", "streaming", "model", true, true, 0}};   // of `KeptClients` only
 constexpr const char* route_host = "soak.example";
 
-// Where a proxy serves.
-struct ProxyAddresses {
-    Endpoint front, ready;
-};
+std::string new_request_id(lab::Chance& chance);
 
 class Clients {
 public:
-    Clients(asio::io_context& context, Checker& checker, std::vector<ProxyAddresses> proxies, uint64_t seed,
+    Clients(asio::io_context& context, Checker& checker, Platform& platform, uint64_t seed,
             std::function<double()> now);
     void start();   // until the io_context ends
 
 private:
-    // The platform's view of a proxy.
-    struct Proxy {
-        ProxyAddresses at;
-        double weight = 1;   // share of the clients whose home it is
-        int misses = 2;      // of /ready in a row; from two on it gets no clients
-    };
     struct Caller {
         const Tenant* tenant;
         double demand;
         double drawn_until = 0;
         asio::steady_timer timer;
     };
-    void ask_ready();
     void next_request(Caller& caller);
     void send(const Tenant& tenant);
-    size_t pick_proxy();
 
     asio::io_context& context_;
     Checker& checker_;
+    Platform& platform_;
     lab::Chance chance_;
     std::function<double()> now_;
-    std::vector<Proxy> proxies_;
     std::vector<Caller> callers_;
-    asio::steady_timer ready_timer_;
 };
 
 }   // namespace myrtleroute::soak
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -15,6 +15,7 @@
 
 constexpr double grace = 8;             // seconds from SIGTERM to SIGKILL
 constexpr double restart_after = 0.2;   // of a process that has ended
+constexpr double hears_after = 0.1;     // from its start: the program it is to run has begun, and acts on signals
 constexpr size_t seeds = 3;
 constexpr size_t machine_group = 0, advertised_group = 1, host_group = 2;
 
@@ -80,7 +81,11 @@
            "\nbounds.quotaSlack=" + std::to_string(options_.quota_slack) + "\n";
 }
 
-void Fleet::launch(Process& process) {
+bool Fleet::hears_signals(const Process& process, double now) {
+    return process.pid && now >= process.started_at + hears_after;
+}
+
+void Fleet::launch(Process& process, double now) {
     const auto file = options_.directory + "/" + process.name;
     std::ofstream(file + ".conf") << settings(process);
     rig::Start start;
@@ -90,11 +95,12 @@
     process.pid = std::max<pid_t>(0, rig::start(start));
     process.told_to_end = false;
     process.kill_at = 0;
+    process.started_at = now;
     if (process.pid && process.pauses > 0) ::kill(process.pid, SIGSTOP);
 }
 
 void Fleet::start() {
-    for (auto& process : processes_) launch(process);
+    for (auto& process : processes_) launch(process, 0);
     first_start_ = false;
 }
 
@@ -102,7 +108,7 @@
     reap(now);
     for (auto& process : processes_) {
         if (process.pid && process.kill_at > 0 && now >= process.kill_at) ::kill(process.pid, SIGKILL);
-        if (!process.pid && now >= process.back_at) launch(process);
+        if (!process.pid && now >= process.back_at) launch(process, now);
     }
 }
 
@@ -129,7 +135,7 @@
 
 void Fleet::stop(Role role, size_t machine, double now) {
     auto& stopped = process(role, machine);
-    if (!stopped.pid || stopped.told_to_end) return;
+    if (!hears_signals(stopped, now) || stopped.told_to_end) return;
     stopped.told_to_end = true;
     stopped.kill_at = now + grace;
     ::kill(stopped.pid, SIGTERM);
@@ -141,6 +147,11 @@
     if (paused.pid) ::kill(paused.pid, paused.pauses > 0 ? SIGSTOP : SIGCONT);
 }
 
+void Fleet::hang_up(Role role, size_t machine, double now) {
+    const auto& told = process(role, machine);
+    if (hears_signals(told, now)) ::kill(told.pid, SIGHUP);
+}
+
 // The disk is emptied once nothing writes to it any more.
 void Fleet::wipe(size_t machine, double back_at) {
     kill(Role::control, machine, back_at);
--- a/src/soak/fleet.hpp
+++ b/src/soak/fleet.hpp
@@ -56,7 +56,8 @@
     void kill(Role role, size_t machine, double back_at);   // SIGKILL; started again at `back_at`
     void stop(Role role, size_t machine, double now);       // SIGTERM, SIGKILL after the grace
     void pause(Role role, size_t machine, bool pauses);
-    void wipe(size_t machine, double back_at);   // a control node and its disk
+    void hang_up(Role role, size_t machine, double now);   // SIGHUP: the settings file has changed
+    void wipe(size_t machine, double back_at);             // a control node and its disk
 
 private:
     struct Process {
@@ -65,12 +66,14 @@
         pid_t pid = 0;              // 0: does not run
         bool told_to_end = false;   // by a signal of the soak's
         double back_at = 0;         // it does not start before
-        double kill_at = 0;         // where it was told to stop: the end of the grace
+        double started_at = 0;
+        double kill_at = 0;   // where it was told to stop: the end of the grace
         int pauses = 0;
         std::string name;
     };
     Process& process(Role role, size_t machine);
-    void launch(Process& process);
+    static bool hears_signals(const Process& process, double now);
+    void launch(Process& process, double now);
     void reap(double now);
     std::string settings(const Process& process) const;
 
--- a/src/soak/hosts.cpp
+++ b/src/soak/hosts.cpp
@@ -14,6 +14,8 @@
 using asio::ip::tcp;
 
 constexpr double shortest_answer = 0.005, longest_answer = 0.06;   // seconds; for an event of a stream as well
+constexpr double longest_event = 1.25;                             // of a long stream
+constexpr std::string_view long_streams = "/long/";                // their path
 constexpr size_t most_request = 1 << 20;
 constexpr const char* ending = " end\n";
 
@@ -126,7 +128,8 @@
 
     template <class Then>
     void after_a_while(Then then) {
-        after(timer_, host_.chance_.between(shortest_answer, longest_answer),
+        const bool is_long = reader_.target.starts_with(long_streams);
+        after(timer_, host_.chance_.between(shortest_answer, is_long ? longest_event : longest_answer),
               [self = shared_from_this(), then] { then(); });
     }
 
--- a/src/soak/http_call.cpp
+++ b/src/soak/http_call.cpp
@@ -4,7 +4,6 @@
 #include <memory>
 
 #include "soak/timing.hpp"
-#include "wire/http.hpp"
 #include "wire/text.hpp"
 
 namespace myrtleroute::soak {
@@ -20,20 +19,6 @@
     return limits;
 }
 
-// Collects the answer.
-struct ReplyReader : wire::HttpReader {
-    int start(std::string_view, std::string_view code, std::string_view) override {
-        reply.status = wire::whole<int>(code).value_or(0);
-        return 0;
-    }
-    int field(std::string_view name, std::string_view value) override {
-        reply.fields.emplace_back(name, value);
-        return 0;
-    }
-    void body(std::string_view bytes) override { reply.body += bytes; }
-    HttpReply reply;
-};
-
 class Call : public std::enable_shared_from_this<Call> {
 public:
     Call(asio::io_context& context, HttpCall call)
@@ -92,6 +77,17 @@
 
 }   // namespace
 
+int ReplyReader::start(std::string_view, std::string_view code, std::string_view) {
+    reply = {};
+    reply.status = wire::whole<int>(code).value_or(0);
+    return 0;
+}
+
+int ReplyReader::field(std::string_view name, std::string_view value) {
+    reply.fields.emplace_back(name, value);
+    return 0;
+}
+
 std::string field_of(const Fields& fields, std::string_view name) {
     for (const auto& [known, value] : fields)
         if (wire::same(known, name)) return value;
--- a/src/soak/http_call.hpp
+++ b/src/soak/http_call.hpp
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.hpp"
 #include "time.hpp"
+#include "wire/http.hpp"
 
 namespace myrtleroute::soak {
 
@@ -24,6 +25,14 @@
     std::string body;
 };
 
+// Collects an answer.
+struct ReplyReader : wire::HttpReader {
+    int start(std::string_view version, std::string_view code, std::string_view reason) override;
+    int field(std::string_view name, std::string_view value) override;
+    void body(std::string_view bytes) override { reply.body += bytes; }
+    HttpReply reply;
+};
+
 struct HttpCall {
     Endpoint to;
     std::string text;                      // the request as it goes over the wire
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -138,7 +138,10 @@
     app.add_option("--program", command.soak.program, "Path of myrtlerouted")->required()->check(CLI::ExistingFile);
     app.add_option("--seconds", command.soak.seconds, "With faults")->check(CLI::Range(2.0, 86400.0));
     app.add_option("--control", command.soak.size.controls, "Machines with a control node")->check(CLI::Range(3, 20));
-    app.add_option("--proxies", command.soak.size.proxies, "Machines, each with a proxy")->check(CLI::Range(3, 100));
+    app.add_option("--proxies", command.soak.size.proxies, "Machines, each with a proxy")->check(CLI::Range(3, 250));
+    app.add_flag("--planned", command.soak.planned, "Planned work alone, in series: stops, reloads and changes");
+    app.add_option("--kept-clients", command.soak.kept_clients, "Clients that keep their connections")
+        ->check(CLI::Range(0, 5000));
     app.add_option("--keep", command.keep, "Folder in which logs and disks of every seed are kept");
 }
 
--- a/src/soak/operator.cpp
+++ b/src/soak/operator.cpp
@@ -9,20 +9,24 @@
 namespace myrtleroute::soak {
 namespace {
 
-constexpr Span patience{1.5};                           // for an answer
-constexpr double pause = 0.2;                           // seconds before an order is sent again
-constexpr double soonest = 2, latest = 6;               // seconds between changes
+constexpr Span patience{1.5};               // for an answer
+constexpr double pause = 0.2;               // seconds before an order is sent again
+constexpr double soonest = 2, latest = 6;   // seconds between changes
+constexpr double soonest_in_series = 0.05, latest_in_series = 0.6;
 constexpr double least_factor = 0.4, most_factor = 2;   // of a limit that is moved, times the first one
 constexpr int most_redirects = 2;
+constexpr int timeout_ms = 3000, long_timeout_ms = 12000;   // of routes
 constexpr uint64_t most_version_step = 3;
 
 std::string number(double value) { return std::to_string(static_cast<int64_t>(value)); }
 
 std::string route_json(const RouteUse& route) {
+    const bool is_long = route.streams && route.repeatable;
     return R"({"name":"r","hostname":")" + std::string(route_host) + R"(","pathPrefix":")" + route.path +
-           R"(","kind":")" + route.kind + R"(","service":")" + route.service +
-           R"(","timeoutMs":3000,"targetLatencyMs":1000,"priority":0,"maxAttempts":2,"public":false,"sticky":)" +
-           (route.streams ? "true" : "false") + R"(,"resumable":false})";
+           R"(","kind":")" + route.kind + R"(","service":")" + route.service + R"(","timeoutMs":)" +
+           std::to_string(is_long ? long_timeout_ms : timeout_ms) +
+           R"(,"targetLatencyMs":1000,"priority":0,"maxAttempts":2,"public":false,"sticky":)" +
+           (route.streams ? "true" : "false") + R"(,"resumable":)" + (is_long ? "true" : "false") + "}";
 }
 
 std::string tenant_json(const Tenant& tenant, const TenantLimit& limit) {
@@ -47,13 +51,14 @@
 }
 
 Operator::Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
-                   std::function<double()> now, OperatorEvents events)
+                   std::function<double()> now, OperatorEvents events, Pace pace)
     : context_(context),
       checker_(checker),
       controls_(std::move(controls)),
       chance_(seed, 0x6f7065),
       now_(std::move(now)),
       events_(std::move(events)),
+      pace_(pace),
       timer_(context) {
     for (const auto& tenant : tenants()) limits_[tenant.name] = tenant.limit;
 }
@@ -111,7 +116,9 @@
     acknowledged_ = version_;
     events_.note("configuration " + std::to_string(version_) + " is acknowledged");
     events_.acknowledged(version_);
-    after(timer_, chance_.between(soonest, latest), [this] { start(); });
+    const double pause =
+        pace_ == Pace::series ? chance_.between(soonest_in_series, latest_in_series) : chance_.between(soonest, latest);
+    after(timer_, pause, [this] { start(); });
 }
 
 void Operator::read_back(std::function<void()> done) {
--- a/src/soak/operator.hpp
+++ b/src/soak/operator.hpp
@@ -24,8 +24,9 @@
 
 class Operator {
 public:
+    enum class Pace { calm, series };   // changes every few seconds, or several a second
     Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
-             std::function<double()> now, OperatorEvents events);
+             std::function<double()> now, OperatorEvents events, Pace pace = Pace::calm);
 
     void start();   // sends the first configuration, and later ones that move limits
     // Reads until an answer comes, and judges it. `done` is called once.
@@ -48,6 +49,7 @@
     lab::Chance chance_;
     std::function<double()> now_;
     OperatorEvents events_;
+    Pace pace_;
     asio::steady_timer timer_;
     Limits limits_;
     uint64_t version_ = 0, acknowledged_ = 0;   // sent and acknowledged last
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -26,6 +26,7 @@
         case FaultKind::wipe_control: return {0.3, 4};
         case FaultKind::stop_proxies:
         case FaultKind::stop_controls: return {1, 2};
+        case FaultKind::hang_up_every_process: return {0.3, 0.3};
         default: return {1, 6};
     }
 }
@@ -34,9 +35,12 @@
     return kind == FaultKind::cut_machines || kind == FaultKind::cut_controls || kind == FaultKind::cut_proxies;
 }
 
+// Told to the processes in a moment, and over.
+bool is_told_once(FaultKind kind) { return kind == FaultKind::hang_up_every_process; }
+
 bool strikes_every(FaultKind kind) {
     return kind == FaultKind::kill_every_proxy || kind == FaultKind::kill_every_control ||
-           kind == FaultKind::cut_every_control;
+           kind == FaultKind::cut_every_control || is_told_once(kind);
 }
 
 bool is_of_links(FaultKind kind) {
@@ -130,16 +134,40 @@
 
 const char* name_of(FaultKind kind) {
     constexpr const char* names[] = {
-        "kill_proxies",  "kill_controls",        "kill_every_proxy",    "kill_every_control",
-        "pause_proxies", "pause_controls",       "stop_proxies",        "stop_controls",
-        "wipe_control",  "cut_machines",         "cut_controls",        "cut_every_control",
-        "cut_proxies",   "control_answers_lost", "subscriptions_reset", "host_answers_lost"};
+        "kill_proxies",      "kill_controls",        "kill_every_proxy", "kill_every_control",   "pause_proxies",
+        "pause_controls",    "stop_proxies",         "stop_controls",    "wipe_control",         "cut_machines",
+        "cut_controls",      "cut_every_control",    "cut_proxies",      "control_answers_lost", "subscriptions_reset",
+        "host_answers_lost", "hang_up_every_process"};
     static_assert(std::size(names) == static_cast<size_t>(FaultKind::kinds));
     return names[static_cast<size_t>(kind)];
 }
 
 Plan draw_plan(uint64_t seed, FleetSize size, double length) { return {seed, Drawer(seed, size, length).draw()}; }
 
+Plan draw_planned_work(uint64_t seed, FleetSize size, double length) {
+    lab::Chance chance(seed, plan_stream);
+    Plan plan{seed, {}};
+    const auto add_series = [&](FaultKind kind, size_t among, int most_together, double least_gap, double most_gap) {
+        auto machine = static_cast<size_t>(chance.below(static_cast<int>(among)));
+        for (double at = chance.between(first_fault, first_fault + 1); at + shortest_span < length;) {
+            Fault stop{kind, at, shortest_span, {}, CutSide::both};
+            for (int together = 1 + chance.below(most_together); together > 0; --together)
+                stop.machines.push_back(machine++ % among);
+            plan.faults.push_back(std::move(stop));
+            at += chance.between(least_gap, most_gap);
+        }
+    };
+    add_series(FaultKind::stop_proxies, size.proxies, 2, 0.3, 2.5);
+    add_series(FaultKind::stop_controls, size.controls, 1, 3, 6);
+    for (double at = first_fault; at < length; at += chance.between(0.5, 4))
+        plan.faults.push_back({FaultKind::hang_up_every_process, at, shortest_span, {}, CutSide::both});
+    for (auto& fault : plan.faults)
+        for (size_t machine = 0; fault.kind == FaultKind::hang_up_every_process && machine < size.proxies; ++machine)
+            fault.machines.push_back(machine);
+    std::stable_sort(plan.faults.begin(), plan.faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+    return plan;
+}
+
 bool strikes_control(const Fault& fault, size_t controls) {
     if (fault.kind == FaultKind::cut_machines)
         return std::any_of(fault.machines.begin(), fault.machines.end(), [&](size_t m) { return m < controls; });
--- a/src/soak/plan.hpp
+++ b/src/soak/plan.hpp
@@ -11,22 +11,23 @@
 namespace myrtleroute::soak {
 
 enum class FaultKind {
-    kill_proxies,           // SIGKILL, started again after the span
-    kill_controls,          //
-    kill_every_proxy,       // at one moment
-    kill_every_control,     //
-    pause_proxies,          // SIGSTOP, SIGCONT after the span
-    pause_controls,         //
-    stop_proxies,           // SIGTERM, started again once they have ended
-    stop_controls,          //
-    wipe_control,           // SIGKILL, started again on an empty disk
-    cut_machines,           // the machines from all others
-    cut_controls,           // the control nodes of the machines from the other control nodes; proxies reach all
-    cut_every_control,      // every control node from every other one; proxies reach all
-    cut_proxies,            // the proxies of the machines from every control node
-    control_answers_lost,   // of what hosts and the operator are answered, half is reset
-    subscriptions_reset,    // connections of proxies to control nodes break as something is told on them
-    host_answers_lost,      // of what hosts have run, a third is reset before the answer
+    kill_proxies,            // SIGKILL, started again after the span
+    kill_controls,           //
+    kill_every_proxy,        // at one moment
+    kill_every_control,      //
+    pause_proxies,           // SIGSTOP, SIGCONT after the span
+    pause_controls,          //
+    stop_proxies,            // SIGTERM, started again once they have ended
+    stop_controls,           //
+    wipe_control,            // SIGKILL, started again on an empty disk
+    cut_machines,            // the machines from all others
+    cut_controls,            // the control nodes of the machines from the other control nodes; proxies reach all
+    cut_every_control,       // every control node from every other one; proxies reach all
+    cut_proxies,             // the proxies of the machines from every control node
+    control_answers_lost,    // of what hosts and the operator are answered, half is reset
+    subscriptions_reset,     // connections of proxies to control nodes break as something is told on them
+    host_answers_lost,       // of what hosts have run, a third is reset before the answer
+    hang_up_every_process,   // SIGHUP to every process, at one moment
     kinds
 };
 const char* name_of(FaultKind kind);
@@ -58,6 +59,10 @@
 constexpr double catch_up = 6;
 Plan draw_plan(uint64_t seed, FleetSize size, double length);
 
+// Planned work alone, in series that overlap: machines are stopped and started again one or two after the other, and
+// processes are told that their settings have changed. Control nodes are stopped one at a time.
+Plan draw_planned_work(uint64_t seed, FleetSize size, double length);
+
 // Whether the fault puts a control node out of order.
 bool strikes_control(const Fault& fault, size_t controls);
 
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -58,9 +58,10 @@
     : options_(std::move(options)),
       block_lock_(context_),
       addresses_(claim_block(block_lock_), options_.size.controls),
-      checker_(bounds_of(fleet_options(options_))),
+      checker_(bounds_of(fleet_options(options_)), options_.planned),
       chance_(options_.seed, 0x736f616b),
-      plan_(draw_plan(options_.seed, options_.size, options_.seconds)),
+      plan_(options_.planned ? draw_planned_work(options_.seed, options_.size, options_.seconds)
+                             : draw_plan(options_.seed, options_.size, options_.seconds)),
       start_(std::chrono::steady_clock::now()),
       fleet_(fleet_options(options_), addresses_,
              [this](const std::string& text) {
@@ -79,7 +80,10 @@
     const auto clock = [this] {
         return now();
     };
-    clients_ = std::make_unique<Clients>(context_, checker_, std::move(proxies), options_.seed, clock);
+    platform_ = std::make_unique<Platform>(context_, std::move(proxies), options_.seed);
+    clients_ = std::make_unique<Clients>(context_, checker_, *platform_, options_.seed, clock);
+    kept_clients_ =
+        std::make_unique<KeptClients>(context_, checker_, *platform_, options_.kept_clients, options_.seed, clock);
     std::vector<Endpoint> controls;
     for (size_t i = 0; i < options_.size.controls; ++i) controls.push_back(addresses_.control(i));
     operator_ = std::make_unique<Operator>(
@@ -87,7 +91,8 @@
         OperatorEvents{[this](uint64_t version) { acknowledged_.emplace_back(version, now()); },
                        [this](const std::string& text) {
                            note(text);
-                       }});
+                       }},
+        options_.planned ? Operator::Pace::series : Operator::Pace::calm);
 }
 
 double Soak::now() const { return std::chrono::duration<double>(std::chrono::steady_clock::now() - start_).count(); }
@@ -176,7 +181,9 @@
     note("starts");
     fleet_.start();
     operator_->start();
+    platform_->start();
     clients_->start();
+    kept_clients_->start();
     ticked_ = now();
     tick();
     read_counters();
@@ -258,6 +265,9 @@
         case FaultKind::stop_proxies: return fleet_.stop(Role::proxy, machine, now());
         case FaultKind::stop_controls: return fleet_.stop(Role::control, machine, now());
         case FaultKind::wipe_control: return fleet_.wipe(machine, back_at);
+        case FaultKind::hang_up_every_process:
+            if (machine < options_.size.controls) fleet_.hang_up(Role::control, machine, now());
+            return fleet_.hang_up(Role::proxy, machine, now());
         default: return;   // cuts and lost answers are asked for by those that carry bytes
     }
 }
@@ -312,7 +322,7 @@
     std::ostringstream text;
     text << std::fixed << std::setprecision(2) << plan_.faults.size() << " faults in " << options_.seconds << " s, "
          << acknowledged_.size() << " configurations, " << checker_.requests() << " requests, " << checker_.served()
-         << " served; most of the quota:";
+         << " served, " << checker_.cuts() << " cut, " << checker_.left_unread() << " left unread; most of the quota:";
     for (const auto& [tenant, peak] : checker_.peaks()) text << ' ' << tenant << ' ' << peak.share();
     text << "; the soak itself was late by " << latest_tick_ << " s at most";
     result.summary = text.str();
--- a/src/soak/soak.hpp
+++ b/src/soak/soak.hpp
@@ -11,8 +11,10 @@
 #include "soak/clients.hpp"
 #include "soak/fleet.hpp"
 #include "soak/hosts.hpp"
+#include "soak/kept_clients.hpp"
 #include "soak/operator.hpp"
 #include "soak/plan.hpp"
+#include "soak/platform.hpp"
 #include "soak/relay.hpp"
 
 namespace myrtleroute::soak {
@@ -23,6 +25,8 @@
     uint64_t seed = 1;
     double seconds = 20;   // with faults
     FleetSize size;
+    bool planned = false;   // planned work alone, in series
+    size_t kept_clients = 40;
 };
 
 struct Outcome {
@@ -71,7 +75,9 @@
     Fleet fleet_;
     std::vector<std::unique_ptr<Relay>> relays_;
     std::vector<std::unique_ptr<Host>> hosts_;
+    std::unique_ptr<Platform> platform_;
     std::unique_ptr<Clients> clients_;
+    std::unique_ptr<KeptClients> kept_clients_;
     std::unique_ptr<Operator> operator_;
     asio::steady_timer timer_, counter_timer_;
     asio::signal_set signals_;
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -87,6 +87,29 @@
     }
 }
 
+TEST_CASE("planned work is stops one after the other, that overlap, and reloads; the same for a seed") {
+    constexpr FleetSize size{4, 8};
+    CHECK(draw_planned_work(7, size, length).faults == draw_planned_work(7, size, length).faults);
+    for (uint64_t seed = 1; seed <= many_seeds; ++seed) {
+        CAPTURE(seed);
+        const auto faults = draw_planned_work(seed, size, length).faults;
+        size_t proxies = 0, controls = 0, reloads = 0;
+        for (const auto& fault : faults) {
+            proxies += fault.kind == FaultKind::stop_proxies;
+            controls += fault.kind == FaultKind::stop_controls;
+            reloads += fault.kind == FaultKind::hang_up_every_process;
+            if (fault.kind == FaultKind::stop_controls) CHECK(fault.machines.size() == 1);
+            if (fault.kind == FaultKind::hang_up_every_process) CHECK(fault.machines.size() == size.proxies);
+            for (const auto machine : fault.machines)
+                CHECK(machine < (fault.kind == FaultKind::stop_controls ? size.controls : size.proxies));
+        }
+        CHECK(proxies + controls + reloads == faults.size());
+        CHECK(proxies >= 3);
+        CHECK(controls >= 1);
+        CHECK(reloads >= 2);
+    }
+}
+
 TEST_CASE("a cut holds up what passes between its machines and the others, on its sides") {
     const Link in{false, 0, 1}, out{false, 1, 0}, beside{false, 2, 3}, of_proxy{true, 1, 0}, own_proxy{true, 1, 1};
     const Fault machines{FaultKind::cut_machines, 0, 1, {1}, CutSide::both};
@@ -228,6 +251,24 @@
     }
 }
 
+TEST_CASE("under planned work alone a request that was read is answered, and one that was left unread has not run") {
+    for (const bool planned : {false, true}) {
+        CAPTURE(planned);
+        for (const std::string how : {"answered", "cut", "unread", "unread and run"}) {
+            CAPTURE(how);
+            Checker checker({8, 0, 1000}, planned);
+            checker.sent({"a", "t", 10, true}, 1);
+            if (how != "unread") checker.ran("a", "t", 1);
+            if (how == "answered") checker.got("a", sound_answer, 2);
+            if (how == "cut") checker.cut("a", "with no answer", 2);
+            if (how.starts_with("unread")) checker.unread("a", 2);
+            CHECK(has(checker, Rule::lost) == (planned && (how == "cut" || how == "unread and run")));
+            CHECK(checker.cuts() == (how == "cut"));
+            CHECK(checker.left_unread() == how.starts_with("unread"));
+        }
+    }
+}
+
 TEST_CASE("counters of broken invariants are found by their names") {
     const std::string text =
         "# TYPE quota_violations_total counter\nquota_violations_total{tenant=\"a b\"} 0\nrequests_total 7\n"
