What is left of a request that is refused before it is whole is read again

Cause: connections that the proxy ends are no longer read; a client that writes a whole body before it reads a 413 had its connection reset over the rest of it.

--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -114,6 +114,7 @@
     if (connection.listens) return accept(static_cast<Listener&>(connection));
     auto& client = static_cast<Client&>(connection);
     if (client.ended || client.error) return end(client, client.ended ? Why::peer_closed : Why::peer_reset);
+    if (client.lingers) return client.in.drop(client.in.size());
     read(client);
 }
 
@@ -125,7 +126,7 @@
         client.in.drop(client.http.feed(client.in.front()));
         if (in_head && client.reader.head_done) context_.loop.set(client, context_.now() + body_within);
         if (client.http.fault()) {
-            client.last = client.busy = true;
+            client.last = client.busy = client.drains = true;
             refuse(client, client.http.fault());
         } else if (client.http.done()) {
             take(client);
@@ -226,9 +227,11 @@
 }
 
 // Our side ends first, and the connection is closed once the last answer has had time to be read: closing resets it where
-// bytes are unread. A request that crosses the end stays unread, so that its client knows that nothing was done.
+// bytes are unread. A request that crosses the end stays unread, so that its client knows that nothing was done; what is
+// left of a refused one is read, since a client may write all of it before it reads the answer.
 void Front::part(Client& client) {
-    client.lingers = client.last = client.deaf = true;
+    client.lingers = client.last = true;
+    client.deaf = !client.drains;
     client.in.drop(client.in.size());
     context_.home.end_sending(client.fd);
     context_.loop.set(client, context_.now() + linger);
@@ -245,7 +248,7 @@
     if (client.lingers) return end(client, Why::told_to_close);
     if (!client.out.empty()) return end(client, Why::unread);
     if (client.http.begun()) {
-        client.busy = client.last = true;
+        client.busy = client.last = client.drains = true;
         return refuse(client, 408);
     }
     if (!context_.home.still_quiet(client.fd)) return context_.loop.set(client, context_.now() + linger);
--- a/src/roles/proxy/front.hpp
+++ b/src/roles/proxy/front.hpp
@@ -94,6 +94,7 @@
     bool chunked = true;    // the answer under way is
     bool last = false;      // the connection ends with the answer
     bool lingers = false;   // our side is closed
+    bool drains = false;    // the rest of a request that was refused before it was whole is read and dropped
 };
 
 }   // namespace myrtleroute::proxy
--- a/tests/system/proxy_stop_test.cpp
+++ b/tests/system/proxy_stop_test.cpp
@@ -106,3 +106,16 @@
     world.pass(Span{0.3});
     CHECK(world.is_over());
 }
+
+TEST_CASE("what is left of a request that is refused before it is whole is read, so that its client gets the answer") {
+    ProxyWorld world;
+    world.tell(routes);
+    auto& client = world.client();
+    client.send("POST /idempotent/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n");
+    world.pass(asked_within);
+    client.send(std::string(100 * 1024, 'b'));
+    world.pass(Span{1.5});
+    CHECK(contains(client.take(), "HTTP/1.1 413 "));
+    CHECK(client.ended);
+    CHECK_FALSE(client.broken);
+}
