--- a/src/soak/hosts.cpp
+++ b/src/soak/hosts.cpp
@@ -7,6 +7,7 @@
 #include "soak/http_call.hpp"
 #include "soak/timing.hpp"
 #include "wire/http.hpp"
+#include "wire/text.hpp"
 
 namespace myrtleroute::soak {
 namespace {
@@ -101,7 +102,8 @@
         request_id_ = field_of(reader_.fields, "X-Request-Id");
         host_.events_.ran(request_id_, field_of(reader_.fields, "X-Tenant-Id"));
         count_running(true);
-        event_ = 0;
+        // A stream may go on at this host behind the last event that the client has.
+        event_ = wire::whole<int>(field_of(reader_.fields, "Last-Event-Id")).value_or(0);
         after_a_while([this] {
             if (host_.options_.streams) return begin_stream();
             finish([this] { answer(200, "", plain_body(request_id_)); });
