Sight: the log and counters tell why clients' connections end, over what, and what became of each request read

Change: counters and a line by cause, an invariant in running code (a request read is answered, cut and told, or its client has left), Home::has_unread.

--- a/src/lab/virtual_home.cpp
+++ b/src/lab/virtual_home.cpp
@@ -151,6 +151,8 @@
     return s.in.empty() && !s.fin_in && !s.error && s.state != State::over;
 }
 
+bool VirtualHome::has_unread(int fd) { return !at(fd).in.empty(); }
+
 void VirtualHome::end_sending(int fd) {
     const NotHeld ours;
     net_.end_sending(at(fd));
--- a/src/lab/virtual_home.hpp
+++ b/src/lab/virtual_home.hpp
@@ -39,6 +39,7 @@
     ssize_t read(int fd, const iovec* parts, int n) override;
     ssize_t write(int fd, const iovec* parts, int n) override;
     bool still_quiet(int fd) override;
+    bool has_unread(int fd) override;
     void end_sending(int fd) override;
     void close(int fd) override;
     int hear_signals() override;
--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -69,6 +69,12 @@
     const bool probes;
 };
 
+Front::Front(Context& context, Events events)
+    : context_(context),
+      events_(std::move(events)),
+      report_(context.metrics, [](const std::string& line) { log_info() << line; }),
+      read_requests_are_answered_(context.invariants.named("read_requests_are_answered")) {}
+
 bool Front::open(std::string& fault) {
     const auto listen_at = [&](const char* key, const std::optional<Endpoint>& at, bool probes) -> Listener* {
         const auto address = at ? wire::read_endpoint(at->text()) : std::nullopt;
@@ -127,6 +133,7 @@
         if (in_head && client.reader.head_done) context_.loop.set(client, context_.now() + body_within);
         if (client.http.fault()) {
             client.last = client.busy = client.drains = true;
+            report_.request_read();
             refuse(client, client.http.fault());
         } else if (client.http.done()) {
             take(client);
@@ -141,6 +148,7 @@
 void Front::take(Client& client) {
     context_.loop.clear(client);
     client.busy = true;
+    if (!client.is_probe) report_.request_read();
     client.last = client.last || stopping_ || !client.http.keeps();
     if (client.is_probe) return refuse(client, events_.ready() ? 200 : 503);
     if (stopping_ && context_.now() > take_until_) return refuse(client, 503, come_back);
@@ -200,7 +208,8 @@
 // The answer is given; what is left of it is written, and then the next request may come.
 void Front::rest(Client& client) {
     client.request = nullptr;
-    client.busy = false;
+    if (std::exchange(client.busy, false) && !client.is_probe) report_.request_ended(RequestEnd::answered);
+    client.rests_since = context_.now();
     client.http.next();
     client.reader.next();
     context_.loop.set(client, context_.now() + unread_within);
@@ -218,7 +227,8 @@
     // An answer whose head went out before the stop did not say that its connection ends. Once the listeners are
     // closed nothing more is to come on it, unless it has come already.
     const bool surplus = closed_ && !client.http.begun() && client.in.empty() && context_.home.still_quiet(client.fd);
-    if (client.last || surplus) return part(client);
+    if (client.last) return part(client, ConnectionEnd::last_answer);
+    if (surplus) return part(client, ConnectionEnd::stopping);
     const auto idle = client.is_probe  ? probe_idle
                       : context_.table ? context_.table->configuration().limits.idle_timeout
                                        : configuration::Limits{}.idle_timeout;
@@ -229,7 +239,9 @@
 // Our side ends first, and the connection is closed once the last answer has had time to be read: closing resets it where
 // bytes are unread. A request that crosses the end stays unread, so that its client knows that nothing was done; what is
 // left of a refused one is read, since a client may write all of it before it reads the answer.
-void Front::part(Client& client) {
+void Front::part(Client& client, ConnectionEnd cause) {
+    client.parted_as = cause;
+    client.parted_at = context_.now();
     client.lingers = client.last = true;
     client.deaf = !client.drains;
     client.in.drop(client.in.size());
@@ -249,14 +261,16 @@
     if (!client.out.empty()) return end(client, Why::unread);
     if (client.http.begun()) {
         client.busy = client.last = client.drains = true;
+        report_.request_read();
         return refuse(client, 408);
     }
     if (!context_.home.still_quiet(client.fd)) return context_.loop.set(client, context_.now() + linger);
-    part(client);
+    part(client, ConnectionEnd::idle);
 }
 
 void Front::end(Client& client, Why why) {
     if (!client.open()) return;
+    note_end(client, why);
     auto* request = std::exchange(client.request, nullptr);
     clients_.erase(&client);
     --open_;
@@ -264,6 +278,25 @@
     if (request) events_.client_left(*request);
 }
 
+// Before the connection is closed.
+void Front::note_end(Client& client, Why why) {
+    if (client.is_probe) return;
+    const bool by_client = why == Why::peer_closed || why == Why::peer_reset;
+    const auto cause = client.lingers           ? client.parted_as
+                       : by_client              ? ConnectionEnd::client_left
+                       : why == Why::bad_answer ? ConnectionEnd::answer_cut
+                                                : ConnectionEnd::answer_unread;
+    report_.connection_ended(cause);
+    if (client.lingers && context_.home.has_unread(client.fd))
+        report_.closed_over_unread(cause, context_.now() - client.parted_at, client.parted_at - client.rests_since,
+                                   context_.now());
+    if (!client.busy) return;
+    read_requests_are_answered_.check(by_client || why == Why::bad_answer, [&] {
+        return "a connection ended during its request: " + std::string(memory::code(why));
+    });
+    report_.request_ended(by_client ? RequestEnd::client_left : RequestEnd::cut);
+}
+
 void Front::stop(Time take_until) {
     stopping_ = true;
     take_until_ = take_until;
@@ -279,7 +312,7 @@
     for (auto* client : clients)
         if (!client->busy && !client->http.begun() && !client->lingers && client->out.empty() &&
             context_.home.still_quiet(client->fd))
-            part(*client);
+            part(*client, ConnectionEnd::stopping);
 }
 
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/front.hpp
+++ b/src/roles/proxy/front.hpp
@@ -7,6 +7,7 @@
 
 #include "memory/connection.hpp"
 #include "roles/proxy/context.hpp"
+#include "roles/proxy/front_report.hpp"
 #include "roles/proxy/request.hpp"
 
 namespace myrtleroute::proxy {
@@ -37,7 +38,7 @@
         std::function<void(Request&)> drained;   // all that was to be written is
         std::function<bool()> ready;             // what /ready answers
     };
-    Front(Context& context, Events events) : context_(context), events_(std::move(events)) {}
+    Front(Context& context, Events events);
     bool open(std::string& fault);   // false: it can't listen; the fault names the key and the address
 
     // Whole answers. `fields` are lines with their ends.
@@ -68,10 +69,13 @@
     void take(Client& client);
     void rest(Client& client);
     void end(Client& client, memory::Why why);
-    void part(Client& client);
+    void part(Client& client, ConnectionEnd cause);
+    void note_end(Client& client, memory::Why why);
 
     Context& context_;
     Events events_;
+    FrontReport report_;
+    Invariant& read_requests_are_answered_;
     Listener* front_ = nullptr;
     Listener* ready_ = nullptr;
     std::set<Client*> clients_;
@@ -89,12 +93,14 @@
     RequestReader reader;
     wire::HttpMachine http;
     Request* request = nullptr;
-    const bool is_probe;    // it asks for readiness
-    bool busy = false;      // a request is being answered
-    bool chunked = true;    // the answer under way is
-    bool last = false;      // the connection ends with the answer
-    bool lingers = false;   // our side is closed
-    bool drains = false;    // the rest of a request that was refused before it was whole is read and dropped
+    const bool is_probe;                                    // it asks for readiness
+    bool busy = false;                                      // a request is being answered
+    bool chunked = true;                                    // the answer under way is
+    bool last = false;                                      // the connection ends with the answer
+    bool lingers = false;                                   // our side is closed
+    ConnectionEnd parted_as = ConnectionEnd::client_left;   // why our side is closed
+    Time rests_since, parted_at;
+    bool drains = false;   // the rest of a request that was refused before it was whole is read and dropped
 };
 
 }   // namespace myrtleroute::proxy
--- a/src/run/home.hpp
+++ b/src/run/home.hpp
@@ -36,6 +36,7 @@
     virtual ssize_t read(int fd, const iovec* parts, int n) = 0;        // 0: the other end sends no more
     virtual ssize_t write(int fd, const iovec* parts, int n) = 0;       // never raises SIGPIPE
     virtual bool still_quiet(int fd) = 0;                               // no bytes and no end have come
+    virtual bool has_unread(int fd) = 0;                                // bytes have come that were not read
     virtual void end_sending(int fd) = 0;
     virtual void close(int fd) = 0;
 
--- a/src/run/posix_home.cpp
+++ b/src/run/posix_home.cpp
@@ -103,6 +103,11 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
 }
 
+bool PosixHome::has_unread(int fd) {
+    char byte;
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void PosixHome::end_sending(int fd) { ::shutdown(fd, SHUT_WR); }
 void PosixHome::close(int fd) { ::close(fd); }
 
--- /dev/null
+++ b/tests/system/front_report_test.cpp
@@ -0,0 +1,51 @@
+// What a proxy tells of its clients' connections and requests: every request read ends in one of three ways, and what lay
+// unread at an end is told with its cause.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "proxy_world.hpp"
+#include "roles/proxy/front_report.hpp"
+
+using namespace myrtleroute;
+using proxy::ConnectionEnd;
+using proxy::FrontReport;
+using proxy::RequestEnd;
+
+namespace {
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}   // namespace
+
+TEST_CASE("requests read are under way until their end is told") {
+    metrics::Registry registry;
+    FrontReport report(registry, [](const std::string&) {});
+    for (int n = 0; n < 4; ++n) report.request_read();
+    report.request_ended(RequestEnd::answered);
+    report.request_ended(RequestEnd::client_left);
+    report.request_ended(RequestEnd::cut);
+    CHECK(report.under_way() == 1);
+    const auto figures = registry.render();
+    CHECK(contains(figures, "myrtleroute_requests_read_total 4\n"));
+    CHECK(contains(figures, "myrtleroute_requests_ended_total{how=\"answered\"} 1\n"));
+    CHECK(contains(figures, "myrtleroute_requests_ended_total{how=\"cut\"} 1\n"));
+}
+
+TEST_CASE("connections closed over unread bytes are counted by cause, and one line a second tells of them") {
+    metrics::Registry registry;
+    std::vector<std::string> lines;
+    FrontReport report(registry, [&](const std::string& line) { lines.push_back(line); });
+    report.connection_ended(ConnectionEnd::idle);
+    report.closed_over_unread(ConnectionEnd::idle, Span{1}, Span{15}, Time{10});
+    report.closed_over_unread(ConnectionEnd::idle, Span{1}, Span{15}, Time{10.5});
+    report.closed_over_unread(ConnectionEnd::stopping, Span{0.5}, Span{2}, Time{10.5});
+    REQUIRE(lines.size() == 2);
+    CHECK(
+        lines[0] ==
+        "a client's connection is closed over unread bytes: idle, 1.000 s after its end, which came after 15.000 s of "
+        "rest; 1 so far");
+    CHECK(contains(registry.render(), "myrtleroute_client_connections_unread_total{cause=\"idle\"} 2\n"));
+    CHECK(contains(registry.render(), "myrtleroute_client_connections_ended_total{cause=\"idle\"} 1\n"));
+}
--- a/tests/system/pool_test.cpp
+++ b/tests/system/pool_test.cpp
@@ -23,6 +23,7 @@
     ssize_t read(int, const iovec*, int) override { return refuse(); }
     ssize_t write(int, const iovec*, int) override { return refuse(); }
     bool still_quiet(int) override { return true; }
+    bool has_unread(int) override { return false; }
     void end_sending(int) override {}
     void close(int) override {}
     int hear_signals() override { return refuse(); }
