--- /dev/null
+++ b/tests/system/proxy_idle_test.cpp
@@ -0,0 +1,90 @@
+// Connections that rest: clients are told for how long they may take one up, and the proxy ends it so much later that no
+// request crosses the end, also where bytes are held up on a full link.
+#include <doctest/doctest.h>
+
+#include "proxy_world.hpp"
+
+using namespace myrtleroute;
+using testing::ProxyWorld;
+
+namespace {
+
+const std::string routes = ProxyWorld::route("idempotent") + "," + ProxyWorld::route("streaming", 3, true);
+constexpr Span at_once{0.05};
+constexpr Span held_up{2};   // what a full link may hold a request, or an end, up
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+std::string with_idle_limit(int ms) {
+    return routes + R"(],"limits":{"idleTimeoutMs":)" + std::to_string(ms) + R"(},"tenants":[)";
+}
+
+// Sends a request, lets its host answer, and returns what the client gets.
+std::string serve(ProxyWorld& world, testing::ScriptedEnd& client, const std::string& id) {
+    client.send(ProxyWorld::request("idempotent", id));
+    world.pass(at_once);
+    auto* host = world.asked();
+    REQUIRE(host);
+    host->take();
+    host->send(ProxyWorld::answer(id, "body"));
+    world.pass(at_once);
+    return client.take();
+}
+
+// Seconds that an answer says its connection may rest; 0 where it doesn't.
+int told_rest(const std::string& answer) {
+    const std::string field = "Keep-Alive: timeout=";
+    const auto at = answer.find(field);
+    return at == std::string::npos ? 0 : std::stoi(answer.substr(at + field.size()));
+}
+
+}   // namespace
+
+TEST_CASE(
+    "a client that takes its connection up within the time it was told is served, though its request is held up") {
+    for (const int limit_ms : {1000, 4500, 15000}) {
+        CAPTURE(limit_ms);
+        ProxyWorld world;
+        world.tell(with_idle_limit(limit_ms));
+        auto& client = world.client();
+        const int told = told_rest(serve(world, client, "r1"));
+        CHECK(told == (limit_ms + 999) / 1000);
+        world.pass(Span{double(told)} + held_up - at_once * 2);
+        CHECK_FALSE(client.ended);
+        CHECK(contains(serve(world, client, "r2"), "HTTP/1.1 200 OK"));
+    }
+    check_streams_and_last_answers();
+}
+
+TEST_CASE("a lower limit binds connections from their next answer on, and none is ended before the time it was told") {
+    ProxyWorld world;
+    world.tell(with_idle_limit(9000));
+    auto& before = world.client();
+    CHECK(told_rest(serve(world, before, "r1")) == 9);
+    world.tell(with_idle_limit(2000), 2);
+    auto& after = world.client();
+    CHECK(told_rest(serve(world, after, "r2")) == 2);
+    world.pass(Span{8.5});
+    CHECK_FALSE(before.ended);
+    CHECK(after.ended);
+    CHECK(told_rest(serve(world, before, "r3")) == 2);
+    world.pass(Span{8.5});
+    CHECK(before.ended);
+}
+
+TEST_CASE("a request that crosses the end of a resting connection is reset as it comes, not a second later") {
+    for (const bool stops : {false, true}) {
+        CAPTURE(stops);
+        ProxyWorld world;
+        world.tell(with_idle_limit(1000));
+        auto& client = world.client();
+        serve(world, client, "r1");
+        if (stops) world.signal(SIGTERM);
+        while (!client.ended) world.pass(at_once);
+        client.send(ProxyWorld::request("idempotent", "r2"));
+        world.pass(at_once);
+        CHECK(client.broken);
+        CHECK(client.take().empty());
+        CHECK(world.arrivals("r2") == 0);
+    }
+}
