--- a/tests/system/proxy_idle_test.cpp
+++ b/tests/system/proxy_idle_test.cpp
@@ -38,6 +38,26 @@
     return at == std::string::npos ? 0 : std::stoi(answer.substr(at + field.size()));
 }
 
+// A stream tells the time as well, and an answer that ends its connection tells none.
+void check_streams_and_last_answers() {
+    ProxyWorld world;
+    world.tell(with_idle_limit(7000));
+    auto& client = world.client();
+    client.send(ProxyWorld::request("streaming", "r1"));
+    world.pass(at_once);
+    auto* host = world.asked();
+    REQUIRE(host);
+    host->take();
+    host->send(ProxyWorld::stream_head("r1") + ProxyWorld::event(1) + ProxyWorld::event(2) + "0\r\n\r\n");
+    world.pass(at_once);
+    CHECK(told_rest(client.take()) == 7);
+    world.signal(SIGTERM);
+    world.pass(at_once);
+    const auto last = serve(world, client, "r2");
+    CHECK(contains(last, "Connection: close"));
+    CHECK(told_rest(last) == 0);
+}
+
 }   // namespace
 
 TEST_CASE(
