Clients are told for how long a connection may rest, and the proxy ends it three seconds after that

Cause: an idle connection was ended at the limit itself, a time its client had never been told; a request under way then crossed the end and had no answer, and over a full link its client learnt so late. Change: answers carry Connection: keep-alive and Keep-Alive: timeout with the limit in whole seconds; a resting connection is ended 3 s after the time told with its last answer, whatever the limit is by then; what crosses an end all the same (SIGTERM) is reset as it comes.

--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cmath>
 #include <cstring>
 #include <utility>
 
@@ -18,6 +19,9 @@
 constexpr Span accept_again{0.02};
 constexpr Span come_back{0.02};   // a request that comes too late for this process may go to another one at once
 constexpr Span body_within{30}, unread_within{20}, linger{1}, probe_idle{30};
+// A resting connection ends so much later than its client may take it up: a request, or the end, may be held up on a full
+// link for that long.
+constexpr Span held_up{3};
 
 const char* reason(int status) {
     switch (status) {
@@ -89,6 +93,8 @@
     return front_ && ready_;
 }
 
+bool Front::is_listener(const Connection& connection) const { return &connection == front_ || &connection == ready_; }
+
 void Front::accept(Listener& listener) {
     for (int n = 0; n < accepts_a_round || closed_; ++n) {
         const bool room = context_.loop.connections() < context_.most_connections();
@@ -117,8 +123,9 @@
 }
 
 void Front::came(Connection& connection) {
-    if (connection.listens) return accept(static_cast<Listener&>(connection));
+    if (is_listener(connection)) return accept(static_cast<Listener&>(connection));
     auto& client = static_cast<Client&>(connection);
+    if (client.lingers && client.listens) return end(client, Why::told_to_close);   // a reset over what has come
     if (client.ended || client.error) return end(client, client.ended ? Why::peer_closed : Why::peer_reset);
     if (client.lingers) return client.in.drop(client.in.size());
     read(client);
@@ -155,11 +162,24 @@
     events_.request(client, client.reader);
 }
 
+// Tells the client whether, and for how long, it may take the connection up again (RFC 9112, section 9.6; the field
+// Keep-Alive is of RFC 2068, section 19.7.1.1, in whole seconds).
+std::string Front::connection_fields(Client& client) const {
+    if (client.last) return "Connection: close\r\n";
+    client.told_rest = Span{std::ceil(idle_limit().s)};
+    const auto seconds = std::to_string(static_cast<long>(client.told_rest.s));
+    return "Connection: keep-alive\r\nKeep-Alive: timeout=" + seconds + "\r\n";
+}
+
+Span Front::idle_limit() const {
+    return context_.table ? context_.table->configuration().limits.idle_timeout : configuration::Limits{}.idle_timeout;
+}
+
 void Front::answer(Client& client, int status, const std::vector<Field>& fields, std::string_view body) {
     client.last = client.last || stopping_;
     auto text = head(status, fields);
     text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-    text.append(client.last ? "Connection: close\r\n\r\n" : "\r\n");
+    text.append(connection_fields(client)).append("\r\n");
     client.out.push(text);
     client.out.push(body);
     rest(client);
@@ -180,7 +200,7 @@
     client.chunked = !client.reader.old;   // to an old client the answer ends with its connection
     auto text = head(status, fields);
     if (client.chunked) text.append("Transfer-Encoding: chunked\r\n");
-    text.append(client.last ? "Connection: close\r\n\r\n" : "\r\n");
+    text.append(connection_fields(client)).append("\r\n");
     client.out.push(text);
 }
 
@@ -229,21 +249,21 @@
     const bool surplus = closed_ && !client.http.begun() && client.in.empty() && context_.home.still_quiet(client.fd);
     if (client.last) return part(client, ConnectionEnd::last_answer);
     if (surplus) return part(client, ConnectionEnd::stopping);
-    const auto idle = client.is_probe  ? probe_idle
-                      : context_.table ? context_.table->configuration().limits.idle_timeout
-                                       : configuration::Limits{}.idle_timeout;
-    context_.loop.set(client, context_.now() + idle);
+    const Span may_rest = client.told_rest > Span{} ? client.told_rest : idle_limit();
+    context_.loop.set(client, context_.now() + (client.is_probe ? probe_idle : may_rest + held_up));
     if (!client.in.empty()) read(client);
 }
 
 // Our side ends first, and the connection is closed once the last answer has had time to be read: closing resets it where
-// bytes are unread. A request that crosses the end stays unread, so that its client knows that nothing was done; what is
-// left of a refused one is read, since a client may write all of it before it reads the answer.
+// bytes are unread. A request that crosses the end stays unread, so that its client knows that nothing was done. On a
+// connection that rested it shows that the last answer has been read, and the reset comes at once. What is left of a refused
+// request is read, since a client may write all of it before it reads the answer.
 void Front::part(Client& client, ConnectionEnd cause) {
     client.parted_as = cause;
     client.parted_at = context_.now();
     client.lingers = client.last = true;
-    client.deaf = !client.drains;
+    client.listens = cause != ConnectionEnd::last_answer;
+    client.deaf = !client.drains && !client.listens;
     client.in.drop(client.in.size());
     context_.home.end_sending(client.fd);
     context_.loop.set(client, context_.now() + linger);
@@ -251,11 +271,11 @@
 }
 
 void Front::broke(Connection& connection, int) {
-    if (!connection.listens) end(static_cast<Client&>(connection), Why::peer_reset);
+    if (!is_listener(connection)) end(static_cast<Client&>(connection), Why::peer_reset);
 }
 
 void Front::due(Connection& connection) {
-    if (connection.listens) return context_.loop.listen_to(connection, true);
+    if (is_listener(connection)) return context_.loop.listen_to(connection, true);
     auto& client = static_cast<Client&>(connection);
     if (client.lingers) return end(client, Why::told_to_close);
     if (!client.out.empty()) return end(client, Why::unread);
--- a/src/roles/proxy/front.hpp
+++ b/src/roles/proxy/front.hpp
@@ -64,9 +64,12 @@
 
 private:
     struct Listener;
+    bool is_listener(const memory::Connection& connection) const;
     void accept(Listener& listener);
     void read(Client& client);
     void take(Client& client);
+    std::string connection_fields(Client& client) const;
+    Span idle_limit() const;
     void rest(Client& client);
     void end(Client& client, memory::Why why);
     void part(Client& client, ConnectionEnd cause);
@@ -99,6 +102,7 @@
     bool last = false;                                      // the connection ends with the answer
     bool lingers = false;                                   // our side is closed
     ConnectionEnd parted_as = ConnectionEnd::client_left;   // why our side is closed
+    Span told_rest;   // for how long its client may let it rest, as told with the last answer; 0 = not told
     Time rests_since, parted_at;
     bool drains = false;   // the rest of a request that was refused before it was whole is read and dropped
 };
