--- a/src/configuration/node_settings.cpp
+++ b/src/configuration/node_settings.cpp
@@ -166,6 +166,7 @@
     settings.data_directory = reader.text("dataDir", false);
     settings.memory_megabytes = static_cast<size_t>(reader.number("limits.memoryMb", 256));
     settings.descriptors = static_cast<size_t>(reader.number("limits.maxFds", 1024));
+    settings.link_megabits = reader.number("limits.linkMbps", 1000);
     settings.heartbeat = Span{reader.number("heartbeatMs", 1200) * milliseconds};
     settings.contact = Span{reader.number("bounds.contactMs", 3000) * milliseconds};
     settings.drain = Span{reader.number("bounds.drainMs", 2000) * milliseconds};
--- a/src/configuration/node_settings.hpp
+++ b/src/configuration/node_settings.hpp
@@ -40,6 +40,7 @@
     std::string data_directory;   // empty: this machine has no disk
     size_t memory_megabytes = 256;
     size_t descriptors = 1024;
+    double link_megabits = 1000;       // Mbit/s of the machine's own link
     Span heartbeat{1.2};               // between a host's heartbeats
     Span contact{3};                   // trouble older than this no longer excuses
     Span drain{2};                     // from a drain's acknowledgement to the last request sent there
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -28,6 +28,7 @@
     consensus::ReplicaOptions replica;
     registry::HostTableOptions hosts;
     leases::LimitRule limit_rule;
+    double link_megabits = 0;   // Mbit/s of this machine's own link; 0 = not known
     uint64_t seed = 1;
 };
 
--- a/src/roles/control/start.cpp
+++ b/src/roles/control/start.cpp
@@ -18,6 +18,7 @@
     options.replica.least_voters = 2 * static_cast<size_t>(settings.tolerated_machines) + 1;
     options.hosts.lost_after = settings.heartbeat * 3.7;
     options.limit_rule = {settings.quota_slack, settings.quota_over, settings.quota_window};
+    options.link_megabits = settings.link_megabits;
     options.seed = seed;
     return options;
 }
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -30,8 +30,9 @@
     size_t hosts_told = 0;   // messages to the proxy
     RequestNumber next = 1;
 
-    explicit Control(std::vector<std::string> others = {}, const std::string& known = "") {
+    explicit Control(std::vector<std::string> others = {}, const std::string& known = "", double link_megabits = 0) {
         NodeOptions options;
+        options.link_megabits = link_megabits;
         options.self = {{"10.0.0.1", 7500}, {"10.0.0.1", 8367}, "north"};
         options.may_vote = true;
         StoredState stored;
@@ -120,6 +121,26 @@
     CHECK(control.configuration_told() == 3);
 }
 
+TEST_CASE("in a storm of changes a proxy is sent no more than a part of the link carries, and then the newest") {
+    constexpr double small_link = 0.05;   // Mbit/s: a copy takes a quarter of a second of its part
+    Control control({}, "", small_link);
+    control.subscribe();
+    int version = 0;
+    for (int change = 0; change < 20; ++change) {
+        const auto on = std::to_string(version);
+        CHECK(control.status(control.ask("PUT", "/config", on, document(++version))) == 200);
+        control.pass(Span{0.1});
+    }
+    const auto is_configuration = [](const auto& message) {
+        return std::holds_alternative<messages::ConfigurationTold>(message);
+    };
+    const auto copies = std::count_if(control.to_proxy.begin(), control.to_proxy.end(), is_configuration);
+    CHECK(copies >= 6);
+    CHECK(copies <= 11);
+    control.pass(Span{0.5});
+    CHECK(control.configuration_told() == version);
+}
+
 TEST_CASE("orders are judged by the version that they build on, and one sent again is taken again") {
     Control control;
     CHECK(control.status(control.ask("PUT", "/config", "0", document(3))) == 200);
