--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -879,6 +879,10 @@
         desk_.set.balancers = std::max(1, balancers);
     }
     uint32_t product(const Product& product) override { return fleet_.product(product); }
+    const Product* product_of(CallId id) const override {
+        const auto it = calls_.find(id);
+        return it == calls_.end() ? nullptr : it->second.product;
+    }
     void heard(Time now, ServerId id) override { at(now).heard(id); }
     void reported(Time now, ServerId id, double held) override { at(now).reported(id, held); }
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -60,6 +60,7 @@
     // number; bytes of an answer that goes on; and what a server says of the calls that it holds, of all balancers.
     virtual void placed(int me, int balancers) = 0;
     virtual uint32_t product(const Product& product) = 0;
+    virtual const Product* product_of(CallId id) const = 0;   // as which a call is decided; null: it is over
     virtual void heard(Time now, ServerId id) = 0;
     virtual void reported(Time now, ServerId id, double held) = 0;
 };
--- a/tests/system/pool_test.cpp
+++ b/tests/system/pool_test.cpp
@@ -135,3 +135,46 @@
     pool.pool.balancer().shot_ended(pool.context.now(), call, 1, Outcome::reset, false);
     CHECK(pool.sent.size() == 2);
 }
+
+namespace {
+
+// As many routes as there may be in a day of changes: each differs by its time-out, and is asked once.
+void ask_many_routes(Pool& pool, int routes) {
+    for (int n = 0; n < routes; ++n) {
+        pool.route.timeout = Span{10 + n * 0.01};
+        const auto call = pool.request();
+        pool.pool.balancer().shot_ended(pool.context.now(), call, 0, Outcome::fulfilled, true);
+    }
+}
+
+constexpr int many_routes = 2000;
+
+}   // namespace
+
+TEST_CASE("after hundreds of changes a request that may not be repeated is still not repeated") {
+    Pool pool;
+    for (const ServerId server : {11, 12, 13}) pool.tell(std::to_string(server), server, HostState::ready);
+    ask_many_routes(pool, many_routes);
+    pool.route.kind = configuration::RouteKind::non_idempotent;
+    const auto before = pool.sent.size();
+    const auto call = pool.request();
+    REQUIRE(pool.sent.size() == before + 1);
+    pool.pool.balancer().shot_ended(pool.context.now(), call, 0, Outcome::reset, false);
+    CHECK(pool.sent.size() == before + 1);
+}
+
+TEST_CASE("after hundreds of changes a request is decided by its own target, time-out and attempts") {
+    Pool pool;
+    for (const ServerId server : {11, 12, 13}) pool.tell(std::to_string(server), server, HostState::ready);
+    ask_many_routes(pool, many_routes);
+    for (const double target : {0.2, 3.0}) {
+        pool.route.target_latency = Span{target};
+        pool.route.timeout = Span{target * 4};
+        pool.route.max_attempts = 1;
+        const auto* product = pool.pool.balancer().product_of(pool.request());
+        REQUIRE(product);
+        CHECK(product->slo == Span{target});
+        CHECK(product->client_timeout == Span{target * 4});
+        CHECK(product->attempts == 1);
+    }
+}
--- a/tests/system/proxy_test.cpp
+++ b/tests/system/proxy_test.cpp
@@ -406,3 +406,41 @@
     world.pass(Span{0.05});
     CHECK(contains(client.take(), "HTTP/1.1 404"));
 }
+
+TEST_CASE("after hundreds of services have come and gone a request reaches hosts of its own service only") {
+    ProxyWorld world(2);
+    constexpr int services = 400, asked = 8;
+    const auto host = [](int n, registry::HostState state, uint64_t sequence) {
+        const std::string address = n == services ? "10.9.0.2:80" : "10.9.0.1:80";
+        return registry::Host{"i-" + std::to_string(n), "s" + std::to_string(n), address, "north", 8, state, sequence};
+    };
+    for (int n = 1; n <= services; ++n) {
+        const auto version = std::to_string(n);
+        messages::FleetTold fleet;
+        fleet.current = true;
+        world.say(fleet);
+        world.say(messages::ConfigurationTold{
+            static_cast<uint64_t>(n),
+            R"({"version":)" + version +
+                R"(,"routes":[{"hostname":"h.example","pathPrefix":"/a/","kind":"idempotent",)" +
+                R"("timeoutMs":6000,"service":"s)" + version + R"("}],"services":[{"name":"s)" + version + R"("}]})"});
+        messages::HostsTold told;
+        told.hosts.push_back(host(n, registry::HostState::ready, 1));
+        if (n > 2) told.hosts.push_back(host(n - 2, registry::HostState::gone, 2));
+        world.say(told);
+        world.pass(Span{0.5});
+    }
+    for (int n = 0; n < asked; ++n) {
+        const auto id = "r" + std::to_string(n);
+        auto& client = world.client();
+        client.send("POST /a/b HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        world.pass(Span{0.05});
+        auto* own = world.asked();
+        REQUIRE(own);
+        own->take();
+        own->send(ProxyWorld::answer(id, "body"));
+        world.pass(Span{0.05});
+        CHECK(contains(client.take(), "HTTP/1.1 200 OK"));
+    }
+    CHECK(world.hosts[0]->ends.empty());
+}
