A request is decided by its own route, however many products there have been

Cause: the table of products never forgot, and past 64 names it gave every new one the last product: another route's repeatability, attempts, target and time-out (TWICE, ORDER, BUDGET after hundreds of changes). Change: ProductTable: a told product gives way when no call is of it, the one used the longest ago first, and beyond 64 there are as many as calls held; the shortest target is found anew. An invariant in running code: a request's product has its route's rules.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -12,6 +12,7 @@
 
 #include "chain.hpp"
 #include "median.hpp"
+#include "product_table.hpp"
 #include "random.hpp"
 
 namespace myrtleroute {
@@ -27,7 +28,6 @@
 constexpr double outstanding = 0.1;                // share of failures above the median's
 constexpr double most_wait = 0.55;                 // of the SLO
 constexpr size_t first_size = 10, least_size = 4, most_size = 200;
-constexpr size_t most_products = 64;               // told while it runs
 constexpr Span report_counts{2};                   // a server's word on what it holds, less and less
 constexpr double begun_weight = 0.3;               // of a call whose answer is under way, by known slots
 constexpr double full_at = 1.25;                   // calls held at a server over its slots
@@ -82,20 +82,21 @@
         tail_.assign(desk.set.products.size(), Ring<2>(penalty));
         products_.assign(desk.set.products.size(), Kind(penalty));
         tenants_.assign(desk.set.allowances.size() + 1, Kind(penalty));
-        for (const auto& p : desk.set.products) least_slo_ = std::min(least_slo_, p.slo);
+        least_slo_ = table_.least_slo(interval);
     }
     uint32_t product(const Product& told) {
-        auto& products = desk_.set.products;
-        const auto same = [&](const Product& p) { return p.name == told.name; };
-        const auto known = std::find_if(products.begin(), products.end(), same);
-        if (known != products.end() || products.size() >= most_products)
-            return static_cast<uint32_t>(std::min(known, products.end() - 1) - products.begin());
-        products.push_back(told);
-        tail_.emplace_back(penalty);
-        products_.emplace_back(penalty);
-        for (auto& [id, s] : known_) s->full_until.push_back(long_ago);
-        least_slo_ = std::min(least_slo_, told.slo);
-        return static_cast<uint32_t>(products.size() - 1);
+        const auto [number, fresh] = table_.tell(told);
+        if (!fresh) return static_cast<uint32_t>(number);
+        tail_.resize(table_.size(), Ring<2>(penalty));
+        tail_[number] = Ring<2>(penalty);
+        products_.resize(table_.size(), Kind(penalty));
+        products_[number] = Kind(penalty);
+        for (auto& [id, s] : known_) {
+            s->full_until.resize(table_.size(), long_ago);
+            s->full_until[number] = long_ago;
+        }
+        least_slo_ = table_.least_slo(interval);
+        return static_cast<uint32_t>(number);
     }
     void heard(ServerId id) {
         if (auto* s = find(id)) s->last_heard = last_heard_ = desk_.now;
@@ -560,7 +561,7 @@
     std::array<Kind*, 2> kinds(const Call& c) {
         return {&tenants_[std::min<size_t>(c.tenant, tenants_.size() - 1)], &products_[kind(c)]};
     }
-    size_t kind(const Call& c) const { return c.product - desk_.set.products.data(); }
+    size_t kind(const Call& c) const { return c.product->number; }
     bool penalised(const Server& s, const Call& c) const {
         return desk_.now < s.full_until[kind(c)] || (!wide_ && desk_.now < s.penalty_until);
     }
@@ -670,6 +671,7 @@
     Kind all_{penalty};
     std::vector<Ring<2>> tail_;   // by product: calls, and those that missed the SLO
     Span least_slo_ = interval;   // the queue is shared, so the tightest SLO sets its length for all
+    ProductTable table_{desk_.set.products};
     Time started_;
     std::map<uint16_t, Zone> sides_;   // by zone
     Time last_heard_ = long_ago, restarted_ = long_ago, next_replacement_ = long_ago;
@@ -793,7 +795,6 @@
     Decisions(Time now, Settings settings, uint64_t seed, Actions& out)
         : desk_{std::move(settings), out, Pcg(seed), now}, fleet_(desk_), shares_(desk_),
           further_(desk_, chain_, fleet_), send_(desk_, fleet_), next_resize_(now + interval) {
-        desk_.set.products.reserve(most_products);   // calls point to theirs
         chain_.add(shares_);
         chain_.add(further_);
         chain_.add(send_);
@@ -817,6 +818,7 @@
         Call& c = it->second;
         c.id = id;
         c.product = &desk_.set.products[product];
+        ++c.product->calls;
         c.tenant = tenant;
         c.work = work;
         c.key = desk_.set.warm_keys || pull > 0 ? key : 0;
@@ -912,6 +914,7 @@
     void forget_if_over(Call& c) {
         if (!c.ended || c.out()) return;
         for (const auto& shot : c.shots) --shot.server->named;
+        --c.product->calls;
         calls_.erase(c.id);
     }
 
--- a/src/model.hpp
+++ b/src/model.hpp
@@ -26,6 +26,9 @@
     int attempts = 0;          // servers that a call may be sent to, 0 = as the settings say
     double quick = 0;          // seconds that the quickest fifth of the answers stay under, 0 = none seen yet
     double took = 0;           // seconds an answer lately took on an unhurried server, 0 = none seen yet
+    size_t number = 0;         // its place among the products
+    int calls = 0;             // held that are of it
+    uint64_t used = 0;         // rises with each use of any product
 };
 
 struct Call;
--- a/src/roles/proxy/service_pool.cpp
+++ b/src/roles/proxy/service_pool.cpp
@@ -30,6 +30,11 @@
     return settings;
 }
 
+// Whether calls of both may do the same.
+bool same_rules(const Product& a, const Product& b) {
+    return a.slo == b.slo && a.client_timeout == b.client_timeout && a.repeat == b.repeat && a.attempts == b.attempts;
+}
+
 }   // namespace
 
 ServicePool::ServicePool(Context& context, std::string name, size_t number, uint64_t seed, Events events)
@@ -39,7 +44,8 @@
       events_(std::move(events)),
       budget_({context.settings.retry_budget_ratio, context.settings.budget_window, context.settings.budget_slack},
               context.started),
-      balancer_(start_balancer(context.now(), balancer_settings(context), seed, *this)) {}
+      balancer_(start_balancer(context.now(), balancer_settings(context), seed, *this)),
+      decided_as_told_(context.invariants.named("requests_are_decided_as_their_routes_say")) {}
 
 void ServicePool::take(const Request& request) {
     const auto& route = *request.route;
@@ -59,6 +65,9 @@
     const double pull = std::min(most_pull, request.prompt.shared_tokens / tokens_a_call);
     balancer_->call_arrived(context_.now(), request.id, number, 0, request.deadline - context_.now(), work,
                             request.prompt.shared_key, false, pull);
+    const auto* decided = balancer_->product_of(request.id);   // null: it has its answer already
+    decided_as_told_.check(!decided || same_rules(*decided, product),
+                           [&] { return decided->name + " in place of " + product.name; });
 }
 
 void ServicePool::told(const registry::Host& host, ServerId id) {
--- a/src/roles/proxy/service_pool.hpp
+++ b/src/roles/proxy/service_pool.hpp
@@ -54,6 +54,7 @@
     Events events_;
     routing::RetryBudget budget_;
     std::unique_ptr<Balancer> balancer_;
+    Invariant& decided_as_told_;
     std::map<ServerId, bool> ready_;   // hosts that are not gone, and whether they are ready
     size_t ready_hosts_ = 0;
 };
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <deque>
 #include <map>
 #include <stdexcept>
 #include <string>
@@ -14,7 +15,7 @@
 namespace myrtleroute {
 
 struct Settings {
-    std::vector<Product> products;
+    std::deque<Product> products;     // calls point to theirs
     std::vector<double> allowances;   // API calls a second a tenant may make across all balancers
     int balancers = 1, me = 0;
     uint16_t zone = 0;
