A request is served by hosts of its own service, however many services there have been

Cause: the list of pools never forgot, and past 120 services it gave every new one the last pool: hosts of another service. Change: ServicePools: a pool goes a minute after its service was last named, had a host or a request; its number is not given again; past 256 at a time a request is refused with 503 and Retry-After, logged and counted.

--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr Span tick_every{0.2};
-constexpr size_t most_pools = 120, most_requests = 8192;
-// Pools' numbers that no pool has.
-constexpr uint64_t tick_cookie = 127ULL << 53, leases_cookie = 126ULL << 53;
+constexpr size_t most_requests = 8192;
+constexpr uint64_t tick_cookie = 1ULL << 62, leases_cookie = tick_cookie + 1;   // pools' are below 2^61
+constexpr Span pools_looked_at_every{5};
 constexpr int exit_fault = 2;
 constexpr Span refused_again{0.2};
 constexpr Span come_back{0.02};   // a request that this process would not live to answer may go to another one at once
@@ -63,6 +63,7 @@
     : context_(std::move(settings), home, seed),
       reread_(std::move(reread)),
       table_({}),
+      pools_(context_, pool_events()),
       leases_({context_.settings.node_name, seed}, {}, context_.started),
       quota_report_(context_.metrics, [](const std::string& line) { log_info() << line; }),
       cut_report_(context_.metrics, [](const std::string& line) { log_info() << line; }),
@@ -79,22 +80,25 @@
               },
               [this](Request& request, const Reply& reply, bool streamed) { answered(request, reply, streamed); },
               [](Request& request, Reply reply) { request.last_failure = std::move(reply); },
-              [this](size_t service, ServerId id) { pools_[service]->balancer().heard(context_.now(), id); },
+              [this](size_t service, ServerId id) {
+                  if (auto* serving = pools_.find(service)) serving->balancer().heard(context_.now(), id);
+              },
               [this](size_t service, ServerId id, double held) {
-                  pools_[service]->balancer().reported(context_.now(), id, held);
+                  if (auto* serving = pools_.find(service)) serving->balancer().reported(context_.now(), id, held);
               },
               [this](HostRecord& host) {
                   auto gone = host.host;
                   gone.state = registry::HostState::gone;
                   hosts_.close_idle(host);
-                  pools_[host.service]->told(gone, host.id);
+                  if (auto* serving = pools_.find(host.service)) serving->told(gone, host.id);
               },
               [this](CallId call, int number, Outcome outcome) { attempt_ended(call, number, outcome); },
               [this](size_t service, ServerId id, bool answered) {
-                  pools_[service]->balancer().probed(context_.now(), id, answered);
+                  if (auto* serving = pools_.find(service)) serving->balancer().probed(context_.now(), id, answered);
               },
               [this](Request& request, int number) {
-                  return pools_[request.service]->balancer().may_begin(context_.now(), request.id, number);
+                  auto* serving = pools_.find(request.service);
+                  return serving && serving->balancer().may_begin(context_.now(), request.id, number);
               }}),
       subscription_(context_, {[this](const messages::ConfigurationTold& told) { configured(told); },
                                [this](const messages::HostsTold& told) { hosts_told(told); },
@@ -224,10 +228,14 @@
     used_units_were_lent_.check(leases_.totals().used <= leases_.totals().got * (1 + rounding), [&] {
         return std::to_string(leases_.totals().used) + " units used of " + std::to_string(leases_.totals().got);
     });
-    auto& serving = pool(routing::pick_backend(*request.route, context_.chance.share()));
-    request.service = pool_numbers_[serving.name()];
+    auto* serving = pools_.of(routing::pick_backend(*request.route, context_.chance.share()));
+    if (!serving) {
+        front_.refuse(*std::exchange(request.client, nullptr), 503, refused_again);
+        return forget_if_over(request);
+    }
+    request.service = serving->number();
     request.admitted = true;
-    serving.take(request);
+    serving->take(request);
 }
 
 void Proxy::turn_away(Client& client, const Request& request, const leases::Decision& decision) {
@@ -269,7 +277,7 @@
         leases_.withdraw(id);
         return forget_if_over(request);
     }
-    pools_[request.service]->balancer().client_left(context_.now(), id);
+    if (auto* serving = pools_.find(request.service)) serving->balancer().client_left(context_.now(), id);
     if (auto* held = find(id)) hosts_.abandon(*held);
     if (auto* held = find(id)) forget_if_over(*held);
 }
@@ -316,7 +324,8 @@
 
 void Proxy::began(Request& request, HostConnection& connection) {
     const auto now = context_.now();
-    pools_[request.service]->balancer().stream_began(now, request.id, connection.number);
+    if (auto* serving = pools_.find(request.service))
+        serving->balancer().stream_began(now, request.id, connection.number);
     if (!request.client || std::exchange(request.answering, true)) return;
     front_.begin(*request.client, connection.reader.status, connection.reader.fields);
 }
@@ -344,33 +353,39 @@
     if (!request) return;
     --request->open_attempts;
     const bool answered = !request->client;
-    pools_[request->service]->balancer().shot_ended(context_.now(), call, number, outcome, answered);
+    if (auto* serving = pools_.find(request->service))
+        serving->balancer().shot_ended(context_.now(), call, number, outcome, answered);
     if (auto* held = find(call)) forget_if_over(*held);
 }
 
 // The control role.
 
-ServicePool& Proxy::pool(const std::string& service) {
-    const auto known = pool_numbers_.find(service);
-    if (known != pool_numbers_.end()) return *pools_[known->second];
-    if (pools_.size() >= most_pools) return *pools_.back();
-    const size_t number = pools_.size();
-    pool_numbers_[service] = number;
-    ServicePool::Events events{[this](CallId call, ServerId host, Span try_for) {
-                                   if (auto* request = find(call)) hosts_.send(*request, host, try_for);
-                               },
-                               [this](CallId call, int attempt) {
-                                   if (auto* request = find(call)) hosts_.cancel(*request, attempt);
-                               },
-                               [this](CallId call, Span retry_after) { refuse(call, retry_after); },
-                               [this](CallId call) { fail(call); },
-                               [this](ServerId host) { hosts_.probe(host); },
-                               [this](ServerId host) {
-                                   if (auto* record = hosts_.find(host)) hosts_.close_idle(*record);
-                               }};
-    const auto seed = static_cast<uint64_t>(context_.chance.next()) << 32 | context_.chance.next();
-    pools_.push_back(std::make_unique<ServicePool>(context_, service, number, seed, std::move(events)));
-    return *pools_.back();
+ServicePool::Events Proxy::pool_events() {
+    return {[this](CallId call, ServerId host, Span try_for) {
+                if (auto* request = find(call)) hosts_.send(*request, host, try_for);
+            },
+            [this](CallId call, int attempt) {
+                if (auto* request = find(call)) hosts_.cancel(*request, attempt);
+            },
+            [this](CallId call, Span retry_after) { refuse(call, retry_after); },
+            [this](CallId call) { fail(call); },
+            [this](ServerId host) { hosts_.probe(host); },
+            [this](ServerId host) {
+                if (auto* record = hosts_.find(host)) hosts_.close_idle(*record);
+            }};
+}
+
+// A service is in use while the configuration names it, a host belongs to it or a request is under way there.
+void Proxy::retire_pools() {
+    pools_looked_at_ = context_.now();
+    std::set<std::string> used;
+    if (context_.table)
+        for (const auto& service : context_.table->configuration().services) used.insert(service.name);
+    for (const auto& host : table_.all())
+        if (host.state != registry::HostState::gone) used.insert(host.service);
+    for (const auto& [id, request] : requests_)
+        if (auto* serving = request->admitted ? pools_.find(request->service) : nullptr) used.insert(serving->name());
+    pools_.retire_unused(used, context_.now());
 }
 
 void Proxy::configured(const messages::ConfigurationTold& told) {
@@ -383,9 +398,10 @@
     context_.table = std::make_shared<routing::RouteTable>(std::get<configuration::Configuration>(std::move(checked)));
     quota_report_.configured(context_.table->configuration().tenants);
     for (const auto& service : context_.table->configuration().services) {
-        auto& serving = pool(service.name);
-        serving.health_check = service.health_check;
-        serving.is_engine = service.is_engine;
+        auto* serving = pools_.of(service.name);
+        if (!serving) continue;
+        serving->health_check = service.health_check;
+        serving->is_engine = service.is_engine;
     }
     for (const auto& host : table_.all()) tell_pool(host);
     log_debug() << "configuration " << told.version << " is in force";
@@ -399,11 +415,15 @@
 }
 
 void Proxy::tell_pool(const registry::Host& host) {
-    auto& serving = pool(host.service);
+    auto* serving = pools_.of(host.service);
     auto& record = hosts_.record(host);
-    record.service = pool_numbers_[serving.name()];
-    record.probe_path = serving.is_engine ? "/report" : serving.health_check.empty() ? "/" : serving.health_check;
-    serving.told(host, record.id);
+    record.service = serving ? serving->number() : ServicePools::none;
+    if (serving) {
+        record.probe_path = serving->is_engine              ? "/report"
+                            : serving->health_check.empty() ? "/"
+                                                            : serving->health_check;
+        serving->told(host, record.id);
+    }
     if (host.state == registry::HostState::gone) hosts_.close_idle(record);
 }
 
@@ -416,8 +436,7 @@
     context_.proxies = told.proxies;
     context_.fleet_size.told(told.proxies, context_.now());
     quota_report_.fleet_told(told, context_.now());
-    for (auto& serving : pools_)
-        serving->balancer().placed(static_cast<int>(told.place), static_cast<int>(told.proxies));
+    pools_.placed(static_cast<int>(told.place), static_cast<int>(told.proxies));
 }
 
 // The process.
@@ -439,7 +458,7 @@
         return lease_decisions();
     }
     const size_t number = ServicePool::pool_of(cookie);
-    if (number < pools_.size()) pools_[number]->woke(cookie);
+    if (auto* serving = pools_.find(number)) serving->woke(cookie);
 }
 
 void Proxy::tick() {
@@ -447,6 +466,7 @@
     ask_for_leases();
     context_.loop.wake(context_.now() + (ready() ? tick_every : tick_every * 0.25), tick_cookie);
     hosts_.forget_gone();
+    if (context_.now() - pools_looked_at_ >= pools_looked_at_every) retire_pools();
 }
 
 void Proxy::came(memory::Connection& connection) {
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -14,7 +14,7 @@
 #include "roles/proxy/hosts.hpp"
 #include "roles/proxy/metrics_listener.hpp"
 #include "roles/proxy/quota_report.hpp"
-#include "roles/proxy/service_pool.hpp"
+#include "roles/proxy/service_pools.hpp"
 #include "roles/proxy/shutdown.hpp"
 #include "roles/proxy/subscription.hpp"
 
@@ -59,8 +59,9 @@
     void configured(const messages::ConfigurationTold& told);
     void hosts_told(const messages::HostsTold& told);
     void fleet_told(const messages::FleetTold& told);
-    ServicePool& pool(const std::string& service);
     void tell_pool(const registry::Host& host);
+    void retire_pools();
+    ServicePool::Events pool_events();
 
     // The process.
     std::string figures();   // as text, as they are now
@@ -81,8 +82,8 @@
     Context context_;
     std::function<std::optional<configuration::NodeSettings>()> reread_;
     registry::HostTable table_;
-    std::vector<std::unique_ptr<ServicePool>> pools_;
-    std::map<std::string, size_t> pool_numbers_;   // by service
+    ServicePools pools_;
+    Time pools_looked_at_ = long_ago;
     leases::Holder leases_;
     Time leases_wake_ = long_ago;   // a wake for requests that wait for units is set for this time
     QuotaReport quota_report_;
--- a/src/roles/proxy/service_pool.cpp
+++ b/src/roles/proxy/service_pool.cpp
@@ -7,9 +7,9 @@
 namespace myrtleroute::proxy {
 namespace {
 
-// The balancer's cookies are calls' numbers, below 2^52, and a few with bit 60 set; the pool's number lies between.
-constexpr int pool_shift = 53;
-constexpr uint64_t pool_mask = 0x7f;
+// The balancer's cookies are calls' numbers, below 2^40 here, and a few with bit 60 set; the pool's number lies between.
+constexpr int pool_shift = 40;
+constexpr uint64_t pool_mask = ServicePool::numbers - 1;
 constexpr int most_attempts = 16;
 constexpr Span come_back{0.15};
 // A host that has read the shared part of a prompt may be busier: by a call for each so many tokens.
--- a/src/roles/proxy/service_pool.hpp
+++ b/src/roles/proxy/service_pool.hpp
@@ -22,10 +22,12 @@
         std::function<void(ServerId)> probe;
         std::function<void(ServerId)> close_idle;
     };
+    static constexpr size_t numbers = 1 << 20;   // that pools may have
     // `number`: of the pool, kept in the cookies of its wakes.
     ServicePool(Context& context, std::string name, size_t number, uint64_t seed, Events events);
 
     const std::string& name() const { return name_; }
+    size_t number() const { return number_; }
     Balancer& balancer() { return *balancer_; }
     void take(const Request& request);
     void told(const registry::Host& host, ServerId id);
--- /dev/null
+++ b/src/roles/proxy/service_pools.hpp
@@ -0,0 +1,48 @@
+// The pools of all services, by name and by number. A pool goes once nothing has used its service for a while; its number is
+// not given again, so that what was meant for it reaches no other.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "roles/proxy/service_pool.hpp"
+
+namespace myrtleroute::proxy {
+
+class ServicePools {
+public:
+    static constexpr size_t most = 256;
+    static constexpr size_t none = static_cast<size_t>(-1);   // a number that no pool has
+
+    // `events`: of each pool.
+    ServicePools(Context& context, ServicePool::Events events);
+
+    // The pool of a service, made where there is none. Null: there are as many as there may be; nobody else's serves.
+    ServicePool* of(const std::string& service);
+    // Null: it has gone.
+    ServicePool* find(size_t number);
+    // Retires pools of services that are not in use, and have not been for a minute.
+    void retire_unused(const std::set<std::string>& used, Time now);
+    void placed(int place, int proxies);
+    size_t size() const { return pools_.size(); }
+
+private:
+    struct Entry {
+        std::unique_ptr<ServicePool> pool;
+        Time used;
+    };
+
+    Context& context_;
+    ServicePool::Events events_;
+    std::map<size_t, Entry> pools_;           // by number
+    std::map<std::string, size_t> numbers_;   // by service
+    size_t next_number_ = 0;
+    metrics::Counter refused_;
+    Time logged_ = long_ago;
+    int place_ = 0, proxies_ = 1;
+};
+
+}   // namespace myrtleroute::proxy
--- a/tests/system/proxy_test.cpp
+++ b/tests/system/proxy_test.cpp
@@ -444,3 +444,35 @@
     }
     CHECK(world.hosts[0]->ends.empty());
 }
+
+TEST_CASE("a service for which there is no pool left is refused, and never served by another one's hosts") {
+    ProxyWorld world(1);
+    std::string routes, services;
+    for (size_t n = 0; n < proxy::ServicePools::most + 40; ++n) {
+        const auto name = "t" + std::to_string(n);
+        routes += R"({"hostname":"h.example","pathPrefix":"/)" + name + R"(/","kind":"idempotent","timeoutMs":6000,)" +
+                  R"("service":")" + name + R"("},)";
+        services += R"({"name":")" + name + R"("},)";
+    }
+    routes.pop_back();
+    services.pop_back();
+    world.say(
+        messages::ConfigurationTold{1, R"({"version":1,"routes":[)" + routes + R"(],"services":[)" + services + "]}"});
+    messages::HostsTold told;
+    told.hosts.push_back({"i-0", "t0", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1});
+    world.say(told);
+    world.pass(Span{0.1});
+    const auto ask = [&](const std::string& service) {
+        auto& client = world.client();
+        client.send("POST /" + service + "/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + service +
+                    "\r\nContent-Length: 0\r\n\r\n");
+        world.pass(Span{0.05});
+        return client.take();
+    };
+    const auto refusal = ask("t" + std::to_string(proxy::ServicePools::most + 30));
+    CHECK(contains(refusal, "HTTP/1.1 503 "));
+    CHECK(contains(refusal, "Retry-After: "));
+    CHECK(world.hosts[0]->ends.empty());
+    ask("t0");
+    CHECK(world.arrivals("t0") == 1);
+}
