One place at which a request begins to be answered

Cause: three places counted a request as read, one of them also where a probe was refused. Change: Front::begin_request. Measured: the tests of the router fleet pass.

--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -139,8 +139,8 @@
         client.in.drop(client.http.feed(client.in.front()));
         if (in_head && client.reader.head_done) context_.loop.set(client, context_.now() + body_within);
         if (client.http.fault()) {
-            client.last = client.busy = client.drains = true;
-            report_.request_read();
+            client.last = client.drains = true;
+            begin_request(client);
             refuse(client, client.http.fault());
         } else if (client.http.done()) {
             take(client);
@@ -152,10 +152,14 @@
     }
 }
 
-void Front::take(Client& client) {
-    context_.loop.clear(client);
+void Front::begin_request(Client& client) {
     client.busy = true;
     if (!client.is_probe) report_.request_read();
+}
+
+void Front::take(Client& client) {
+    context_.loop.clear(client);
+    begin_request(client);
     client.last = client.last || stopping_ || !client.http.keeps();
     if (client.is_probe) return refuse(client, events_.ready() ? 200 : 503);
     if (stopping_ && context_.now() > take_until_) return refuse(client, 503, come_back);
@@ -280,8 +284,8 @@
     if (client.lingers) return end(client, Why::told_to_close);
     if (!client.out.empty()) return end(client, Why::unread);
     if (client.http.begun()) {
-        client.busy = client.last = client.drains = true;
-        report_.request_read();
+        client.last = client.drains = true;
+        begin_request(client);
         return refuse(client, 408);
     }
     if (!context_.home.still_quiet(client.fd)) return context_.loop.set(client, context_.now() + linger);
--- a/src/roles/proxy/front.hpp
+++ b/src/roles/proxy/front.hpp
@@ -67,6 +67,7 @@
     bool is_listener(const memory::Connection& connection) const;
     void accept(Listener& listener);
     void read(Client& client);
+    void begin_request(Client& client);   // it has to be answered from now on
     void take(Client& client);
     std::string connection_fields(Client& client) const;
     Span idle_limit() const;
