--- a/tests/system/proxy_test.cpp
+++ b/tests/system/proxy_test.cpp
@@ -497,3 +497,42 @@
     ask("t0");
     CHECK(world.arrivals("t0") == 1);
 }
+
+TEST_CASE("a service that found no pool knows its hosts as soon as there is room, though nothing is told anew") {
+    ProxyWorld world(1);
+    const auto configuration = [](int version, const std::string& services) {
+        return messages::ConfigurationTold{
+            static_cast<uint64_t>(version),
+            R"({"version":)" + std::to_string(version) +
+                R"(,"routes":[{"hostname":"h.example","pathPrefix":"/late/","kind":"idempotent","timeoutMs":6000,)" +
+                R"("service":"late"}],"services":[)" + services + R"({"name":"late","healthCheck":"/well"}]})"};
+    };
+    std::string many;
+    for (size_t n = 0; n < proxy::ServicePools::most; ++n) many += R"({"name":"t)" + std::to_string(n) + R"("},)";
+    world.say(configuration(1, many));
+    world.say(messages::HostsTold{{{"i-0", "late", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1}}});
+    world.pass(Span{0.1});
+    world.say(configuration(2, ""));   // there is no room yet: the pools that go have just been used
+    world.pass(Span{5});
+    auto& client = world.client();
+    client.send("POST /late/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
+    world.pass(Span{0.05});
+    CHECK(world.arrivals("r1") == 1);
+}
+
+TEST_CASE("requests that were refused, or failed without an attempt, are held no longer") {
+    ProxyWorld world(0, [](auto& settings) { settings.memory_megabytes = 1; });
+    world.tell(ProxyWorld::route("idempotent"));   // a service without hosts
+    for (int n = 0; n < 6; ++n) {
+        auto& client = world.client();
+        client.send(ProxyWorld::request("idempotent", "r" + std::to_string(n), std::string(100 * 1024, 'b')));
+        world.pass(Span{7});   // past its deadline
+        CHECK(contains(client.take(), "HTTP/1.1 50"));
+    }
+    world.hosts.push_back(std::make_unique<testing::ScriptedListener>(world.net, 10, Endpoint{"10.9.0.1", 80}));
+    world.say(messages::HostsTold{{{"i-0", "s", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1}}});
+    world.pass(Span{0.1});
+    world.client().send(ProxyWorld::request("idempotent", "served", std::string(100 * 1024, 'b')));
+    world.pass(Span{0.2});
+    CHECK(world.arrivals("served") == 1);
+}
--- a/tests/system/proxy_world.hpp
+++ b/tests/system/proxy_world.hpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <csignal>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -75,7 +76,8 @@
     static constexpr uint16_t front_port = 8360, ready_port = 8365, control_port = 8367, internal_port = 7500;
     static constexpr uint16_t metrics_port = 7515;
 
-    explicit ProxyWorld(size_t hosts = 2)
+    // `change`: of the settings that the proxy starts with.
+    explicit ProxyWorld(size_t hosts = 2, const std::function<void(configuration::NodeSettings&)>& change = {})
         : control(net, 2, {"10.0.0.2", internal_port}), home_(queue, net, machine_, [this] { wake(queue.now()); }) {
         for (size_t i = 0; i < hosts; ++i)
             this->hosts.push_back(std::make_unique<ScriptedListener>(net, 10 + static_cast<int>(i), host_address(i)));
@@ -89,6 +91,7 @@
         settings.first_internal_port = internal_port;
         settings.seeds = {{"10.0.0.2", control_port}};
         settings.budget_slack = 50;
+        if (change) change(settings);
         proxy_ = std::make_unique<proxy::Proxy>(settings, home_, 1, [] { return std::nullopt; });
         started_ = proxy_->start();
         wake(queue.now());
@@ -168,6 +171,17 @@
                     ++count;
         return count;
     }
+    // The value of a series at the proxy's metrics address, as it is written there; empty where there is none.
+    std::string figure(const std::string& series) {
+        auto& reader = client(metrics_port);
+        reader.send("GET /figures HTTP/1.1\r\nHost: x\r\n\r\n");
+        pass(Span{0.1});
+        const auto text = reader.take();
+        const auto at = text.find("\n" + series + " ");
+        if (at == text.npos) return {};
+        const auto value = at + series.size() + 2;
+        return text.substr(value, text.find('\n', value) - value);
+    }
     void signal(int number) { home_.signal(number); }
     bool is_over() const { return proxy_->over(); }
     bool started() const { return started_; }
