--- a/src/leases/holder.cpp
+++ b/src/leases/holder.cpp
@@ -98,7 +98,7 @@
 
 Decision Holder::request(const std::string& tenant, double cost, uint64_t ticket, Span patience, Time now) {
     if (leases_.size() >= most_tenants && !leases_.count(tenant))
-        return {Verdict::refused, RefusalCause::not_lent, late};
+        return {Verdict::refused, RefusalCause::no_room, late};
     auto& lease = leases_[tenant];
     note_asked(lease, cost, now);
     lease.requested_at = now;
@@ -113,8 +113,8 @@
         use(lease, cost, now);
         return {};
     }
-    if (!may_be_answered(now) || lease.waiting.size() >= most_waiting)
-        return refusal(lease, cost, RefusalCause::out_of_touch, now);
+    if (!may_be_answered(now)) return refusal(lease, cost, RefusalCause::out_of_touch, now);
+    if (lease.waiting.size() >= most_waiting) return refusal(lease, cost, RefusalCause::no_room, now);
     lease.waiting.push_back({ticket, cost, now + patience, 0});
     lease.changed = true;
     ++waiting_count_;
--- a/src/registry/host_table.cpp
+++ b/src/registry/host_table.cpp
@@ -81,6 +81,7 @@
     const auto gone = std::find_if(hosts_.begin(), hosts_.end(),
                                    [](const auto& known) { return known.second.host.state == HostState::gone; });
     hosts_.erase(gone == hosts_.end() ? hosts_.begin() : gone);
+    ++evicted_;
 }
 
 const Host* HostTable::find(const std::string& id) const {
--- a/src/registry/host_table.hpp
+++ b/src/registry/host_table.hpp
@@ -50,6 +50,7 @@
     const Host* find(const std::string& id) const;
     std::vector<Host> all() const;   // with those that are gone
     size_t size() const { return hosts_.size(); }
+    uint64_t evicted() const { return evicted_; }   // how many gave way for want of room, since the start
 
 private:
     struct Known {
@@ -62,6 +63,7 @@
     void make_room();
     HostTableOptions options_;
     std::map<std::string, Known> hosts_;
+    uint64_t evicted_ = 0;
     std::vector<Host> retired_;   // gone by a successor at their address, to be told at the next `expire`
 };
 
--- /dev/null
+++ b/src/roles/proxy/admission.cpp
@@ -0,0 +1,111 @@
+#include "roles/proxy/admission.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "roles/log.hpp"
+
+namespace myrtleroute::proxy {
+namespace {
+
+constexpr Span hurry_every{0.05};   // asks for leases that are wanted soon
+constexpr double rounding = 1e-9;
+
+// What a request costs of its tenant's limit, in the limit's unit.
+double cost_of(const Request& request) {
+    const auto& tenant = *request.tenant;
+    const double told = request.prompt.tokens_in + request.prompt.tokens_out;
+    if (!tenant.counts_tokens) return 1;
+    return told > 0 ? told : tenant.uncached_tokens;
+}
+
+// How long a request waits for units: served then, it is still in time.
+Span patience_for(const configuration::Route& route) {
+    constexpr double waited_part = 0.4;   // of the latency that is aimed at
+    constexpr Span least{0.05}, most{0.3};
+    return std::clamp(route.target_latency * waited_part, least, most);
+}
+
+}   // namespace
+
+Admission::Admission(Context& context, uint64_t life, Events events)
+    : context_(context),
+      events_(std::move(events)),
+      leases_({context.settings.node_name, life}, {}, context.started),
+      report_(context.metrics, [](const std::string& line) { log_info() << line; }),
+      used_units_were_lent_(context.invariants.named("used_units_were_lent")),
+      without_room_(bound_counter(context.metrics, "leases")) {}
+
+leases::Decision Admission::decide(const Request& request) {
+    if (!request.tenant || request.tenant->rate_per_second <= 0) return {};
+    const auto decision = leases_.request(request.tenant->name, cost_of(request), request.id,
+                                          patience_for(*request.route), context_.home.now());
+    if (decision.verdict == leases::Verdict::granted) note_granted(request);
+    return decision;
+}
+
+void Admission::note_granted(const Request& request) {
+    report_.note_granted(request.tenant->name, cost_of(request));
+    used_units_were_lent_.check(leases_.totals().used <= leases_.totals().got * (1 + rounding), [&] {
+        return std::to_string(leases_.totals().used) + " units used of " + std::to_string(leases_.totals().got);
+    });
+}
+
+void Admission::wait() {
+    ask();
+    if (!leases_.has_waiting() || wakes_at_ > context_.now()) return;
+    wakes_at_ = leases_.waits_until();
+    context_.loop.wake(wakes_at_, cookie);
+}
+
+void Admission::withdraw(const Request& request) { leases_.withdraw(request.id); }
+
+void Admission::note_refused(const Request& request, const leases::Decision& decision) {
+    if (decision.cause == leases::RefusalCause::no_room) without_room_.add();
+    report_.note_refused(request.tenant->name, cost_of(request), decision.cause, leases_, context_.now());
+}
+
+void Admission::configured() { report_.configured(context_.table->configuration().tenants); }
+
+void Admission::connected(bool is_up) {
+    leases_.connected(is_up);
+    ask();
+}
+
+void Admission::fleet_told(const messages::FleetTold& told) {
+    if (told.current && !control_is_current_) {
+        leases_.hurry();   // there is a leader again
+        ask();
+    }
+    control_is_current_ = told.current;
+    report_.fleet_told(told, context_.now());
+}
+
+void Admission::apply(const leases::LeaseReply& reply) {
+    leases_.apply(reply, context_.home.now());
+    tell_decided();
+}
+
+void Admission::woke() {
+    leases_.tick(context_.home.now());
+    tell_decided();
+}
+
+void Admission::ask() {
+    if (const auto ask = leases_.ask(context_.home.now())) events_.ask(*ask);
+    if (leases_.hurries()) context_.loop.wake(context_.now() + hurry_every, cookie);
+}
+
+void Admission::tell_decided() {
+    for (const auto& decided : leases_.take_decided()) {
+        if (decided.decision.verdict == leases::Verdict::granted)
+            events_.granted(decided.ticket);
+        else
+            events_.refused(decided.ticket, decided.decision);
+    }
+    if (leases_.has_waiting() || leases_.hurries()) wait();
+}
+
+void Admission::refresh_figures() { report_.refresh(leases_, context_.now()); }
+
+}   // namespace myrtleroute::proxy
--- a/src/roles/proxy/cut_report.hpp
+++ b/src/roles/proxy/cut_report.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/line_limit.hpp"
 #include "base/metrics.hpp"
 #include "time.hpp"
 
@@ -33,15 +34,10 @@
     void note(CutCause cause, std::string_view request_id, Span after, Time now);
 
 private:
-    struct Figures {
-        metrics::Counter answers;
-        Time logged = long_ago;
-        unsigned unlogged = 0;   // since the last line
-    };
-    Figures make_figures(metrics::Registry& registry, CutCause cause) const;
-
     Log log_;
-    std::array<Figures, cut_causes.size()> figures_;   // by cause
+    // By cause.
+    std::array<metrics::Counter, cut_causes.size()> answers_;
+    std::array<LineLimit, cut_causes.size()> lines_;
 };
 
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/front_report.cpp
+++ b/src/roles/proxy/front_report.cpp
@@ -3,24 +3,9 @@
 #include <sstream>
 #include <utility>
 
-namespace myrtleroute::proxy {
-namespace {
-
-constexpr Span line_every{1};   // for each cause
-
-template <class Cause>
-metrics::Labels label(const char* name, Cause cause) {
-    return {{name, std::string(to_string(cause))}};
-}
+#include "base/counters_by.hpp"
 
-template <size_t... number>
-auto count_requests(metrics::Registry& registry, std::index_sequence<number...>) {
-    return std::array{registry.counter("myrtleroute_requests_ended_total",
-                                       "Requests read whole whose end has come, by what became of them.",
-                                       label("how", request_ends[number]))...};
-}
-
-}   // namespace
+namespace myrtleroute::proxy {
 
 std::string_view to_string(ConnectionEnd cause) {
     switch (cause) {
@@ -46,32 +31,28 @@
 FrontReport::FrontReport(metrics::Registry& registry, Log log)
     : log_(std::move(log)),
       read_(registry.counter("myrtleroute_requests_read_total", "Clients' requests that were read whole.")),
-      ended_(count_requests(registry, std::make_index_sequence<request_ends.size()>())),
-      connections_([&]<size_t... number>(std::index_sequence<number...>) {
-          return std::array{Connections{registry.counter("myrtleroute_client_connections_ended_total",
-                                                         "Clients' connections that have ended, by cause.",
-                                                         label("cause", connection_ends[number])),
-                                        registry.counter("myrtleroute_client_connections_unread_total",
-                                                         "Clients' connections closed over bytes that nobody had read.",
-                                                         label("cause", connection_ends[number]))}...};
-      }(std::make_index_sequence<connection_ends.size()>())) {}
+      ended_(counters_by(registry, "myrtleroute_requests_ended_total",
+                         "Requests read whole whose end has come, by what became of them.", "how", request_ends)),
+      connections_(counters_by(registry, "myrtleroute_client_connections_ended_total",
+                               "Clients' connections that have ended, by cause.", "cause", connection_ends)),
+      unread_(counters_by(registry, "myrtleroute_client_connections_unread_total",
+                          "Clients' connections closed over bytes that nobody had read.", "cause", connection_ends)) {}
 
 void FrontReport::request_read() { read_.add(); }
 
 void FrontReport::request_ended(RequestEnd end) { ended_[static_cast<size_t>(end)].add(); }
 
-void FrontReport::connection_ended(ConnectionEnd cause) { connections_[static_cast<size_t>(cause)].ended.add(); }
+void FrontReport::connection_ended(ConnectionEnd cause) { connections_[static_cast<size_t>(cause)].add(); }
 
 void FrontReport::closed_over_unread(ConnectionEnd cause, Span ended_for, Span rested, Time now) {
-    auto& figures = connections_[static_cast<size_t>(cause)];
-    figures.unread.add();
-    if (now - figures.logged < line_every) return;
-    figures.logged = now;
+    const auto number = static_cast<size_t>(cause);
+    unread_[number].add();
+    if (!lines_[number].take(now)) return;
     std::ostringstream line;
     line.precision(3);
     line << "a client's connection is closed over unread bytes: " << to_string(cause) << ", " << std::fixed
          << ended_for.s << " s after its end, which came after " << rested.s << " s of rest; "
-         << static_cast<unsigned long>(figures.unread.value()) << " so far";
+         << static_cast<unsigned long>(unread_[number].value()) << " so far";
     log_(line.str());
 }
 
--- a/src/roles/proxy/front_report.hpp
+++ b/src/roles/proxy/front_report.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/line_limit.hpp"
 #include "base/metrics.hpp"
 #include "time.hpp"
 
@@ -50,15 +51,12 @@
     double under_way() const;
 
 private:
-    struct Connections {
-        metrics::Counter ended, unread;
-        Time logged = long_ago;
-    };
-
     Log log_;
     metrics::Counter read_;
     std::array<metrics::Counter, request_ends.size()> ended_;
-    std::array<Connections, connection_ends.size()> connections_;   // by cause
+    // By cause.
+    std::array<metrics::Counter, connection_ends.size()> connections_, unread_;
+    std::array<LineLimit, connection_ends.size()> lines_;
 };
 
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/hosts.cpp
+++ b/src/roles/proxy/hosts.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "base/bounds.hpp"
 #include "base/fnv.hpp"
 
 namespace myrtleroute::proxy {
@@ -46,6 +47,12 @@
     return 0;
 }
 
+Hosts::Hosts(Context& context, Events events)
+    : context_(context),
+      events_(std::move(events)),
+      idle_beyond_(bound_counter(context.metrics, "idle_connections_of_a_host")),
+      shed_(bound_counter(context.metrics, "connections")) {}
+
 HostRecord& Hosts::record(const registry::Host& host) {
     const ServerId id = fnv1a(host.id) | 1;   // never 0
     auto& slot = hosts_[id];
@@ -244,12 +251,13 @@
 void Hosts::release(HostConnection& connection) {
     auto& host = *connection.host;
     const bool keeps = connection.http.keeps() && connection.in.empty() && !connection.ended && !connection.error &&
-                       connection.out.empty() && host.host.state != registry::HostState::gone &&
-                       host.idle.size() < most_idle;
+                       connection.out.empty() && host.host.state != registry::HostState::gone;
+    const bool has_room = host.idle.size() < most_idle;
+    if (keeps && !has_room) idle_beyond_.add();
     if (connection.reader.keep_alive > 0) connection.keep_alive = connection.reader.keep_alive;
     connection.request = nullptr;
     connection.is_probe = connection.deaf = false;
-    if (!keeps) return context_.loop.end(connection, Why::told_to_close);
+    if (!keeps || !has_room) return context_.loop.end(connection, Why::told_to_close);
     connection.http.next();
     connection.reader = {};
     connection.idle = true;
@@ -357,6 +365,7 @@
 }
 
 bool Hosts::shed() {
+    shed_.add();
     if (idle_.empty()) return false;
     auto& connection = *idle_.back();
     unused(connection);
--- a/src/roles/proxy/hosts.hpp
+++ b/src/roles/proxy/hosts.hpp
@@ -66,7 +66,7 @@
         std::function<void(size_t service, ServerId, bool answered)> probe_ended;
         std::function<bool(Request&, int number)> may_begin;
     };
-    Hosts(Context& context, Events events) : context_(context), events_(std::move(events)) {}
+    Hosts(Context& context, Events events);
 
     HostRecord& record(const registry::Host& host);   // made where it is not known yet
     HostRecord* find(ServerId id);
@@ -110,6 +110,7 @@
 
     Context& context_;
     Events events_;
+    metrics::Counter idle_beyond_, shed_;
     std::unordered_map<ServerId, std::unique_ptr<HostRecord>> hosts_;
     std::list<HostConnection*> idle_;   // the latest used first
     std::deque<Ended> ended_;
--- a/src/roles/proxy/quota_report.cpp
+++ b/src/roles/proxy/quota_report.cpp
@@ -11,8 +11,6 @@
 
 using leases::RefusalCause;
 
-constexpr Span line_every{1};   // for each cause
-
 constexpr const char* granted_units = "myrtleroute_quota_granted_units_total";
 constexpr const char* refused_units = "myrtleroute_quota_refused_units_total";
 constexpr const char* refused_requests = "myrtleroute_quota_refused_requests_total";
@@ -39,9 +37,7 @@
       told_age_(registry.gauge("myrtleroute_fleet_told_age_seconds",
                                "Age of the newest word of the fleet; infinite before the first.")),
       reply_age_(registry.gauge("myrtleroute_quota_reply_age_seconds",
-                                "Age of the allocator's last reply; infinite before the first.")) {
-    logged_.fill(long_ago);
-}
+                                "Age of the allocator's last reply; infinite before the first.")) {}
 
 void QuotaReport::configured(const std::vector<configuration::Tenant>& tenants) {
     tenants_.clear();
@@ -76,10 +72,7 @@
     figures->refused_units.add(units);
     figures->refused_requests[static_cast<size_t>(cause)].add();
     figures->refused_since += units;
-    auto& logged = logged_[static_cast<size_t>(cause)];
-    if (now - logged < line_every) return;
-    logged = now;
-    log_refusal(tenant, *figures, cause, leases, now);
+    if (lines_[static_cast<size_t>(cause)].take(now)) log_refusal(tenant, *figures, cause, leases, now);
 }
 
 void QuotaReport::refresh(const leases::Holder& leases, Time now) {
@@ -103,7 +96,7 @@
     return {registry_.counter(granted_units, "Units of the quota granted by this proxy.", labels),
             registry_.counter(refused_units, "Units of the quota refused by this proxy.", labels),
             {refused_for(RefusalCause::over_limit), refused_for(RefusalCause::not_lent),
-             refused_for(RefusalCause::out_of_touch)},
+             refused_for(RefusalCause::out_of_touch), refused_for(RefusalCause::no_room)},
             registry_.gauge(held_units, "Units lent to this proxy and not used yet.", labels),
             registry_.gauge(overload_ratio, "What all proxies are asked for, as a multiple of the limit.", labels)};
 }
--- a/src/roles/proxy/quota_report.hpp
+++ b/src/roles/proxy/quota_report.hpp
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/line_limit.hpp"
 #include "base/metrics.hpp"
 #include "configuration/configuration.hpp"
 #include "leases/holder.hpp"
@@ -64,7 +65,7 @@
     std::map<std::string, Figures, std::less<>> figures_;
     metrics::Gauge proxies_, current_, told_age_, reply_age_;
     Time told_at_ = long_ago;
-    std::array<Time, leases::refusal_causes.size()> logged_;   // when the last line of each cause was written
+    std::array<LineLimit, leases::refusal_causes.size()> lines_;   // by cause
 };
 
 }   // namespace myrtleroute::proxy
