--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -48,6 +48,29 @@
     CHECK(control.configuration_told() == version);
 }
 
+TEST_CASE("on a slow link copies of a configuration leave one by one, whoever has waited longest first") {
+    constexpr double small_link = 10;   // Mbit/s
+    constexpr LinkNumber subscribers = 15;
+    Control control({}, "", small_link);
+    for (LinkNumber link = 1; link <= subscribers; ++link) control.subscribe(0, link, "edge-" + std::to_string(link));
+    const auto copies = [&] {
+        size_t count = 0;
+        for (LinkNumber link = 1; link <= subscribers; ++link)
+            count += control.count_on<messages::ConfigurationTold>(link);
+        return count;
+    };
+    const std::string padding(40000, ' ');
+    CHECK(control.status(control.ask("PUT", "/config", "0", document(1) + padding)) == 200);
+    size_t before = copies(), most = before;
+    for (int tick = 0; tick < 15; ++tick) {
+        control.pass(Span{0.1});
+        most = std::max(most, copies() - before);
+        before = copies();
+    }
+    CHECK(most <= 2);
+    CHECK(before == subscribers);
+}
+
 TEST_CASE("a proxy that subscribes anew is sent nothing more on its old connection") {
     Control control;
     control.subscribe();
