--- a/src/leases/allocator.cpp
+++ b/src/leases/allocator.cpp
@@ -187,9 +187,13 @@
     }
 }
 
+bool Allocator::is_full_for(const HolderId& holder) const {
+    return holders_.size() >= most_holders && holders_.count(holder) == 0;
+}
+
 std::optional<LeaseReply> Allocator::ask(const LeaseAsk& ask, Time now) {
     if (!is_admitted(ask.holder.node)) return {};
-    if (holders_.size() >= most_holders && !holders_.count(ask.holder)) return {};
+    if (is_full_for(ask.holder)) return {};
     auto& holder = holders_[ask.holder];
     if (ask.number <= holder.last_ask) return {};
     heard_[ask.holder.node] = now;
--- a/src/leases/allocator.hpp
+++ b/src/leases/allocator.hpp
@@ -28,6 +28,7 @@
     // The nodes to which may be lent from now on; at least all to which something may have been lent.
     void admit(std::set<std::string> nodes) { nodes_ = std::move(nodes); }
     bool is_admitted(const std::string& node) const { return nodes_.count(node) > 0; }
+    bool is_full_for(const HolderId& holder) const;   // there are as many others as may be
     // When a node asked last; nothing where it has not since `begin`.
     std::optional<Time> heard(const std::string& node) const;
     void tick(Time now);   // several times a second
--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -243,18 +243,32 @@
 void from_json(const Json& j, HostsConfirmed& m) { j.at("confirm").get_to(m.confirm); }
 void to_json(Json& j, const HostsHeard& m) { j = {{"sequences", m.sequences}}; }
 void from_json(const Json& j, HostsHeard& m) { j.at("sequences").get_to(m.sequences); }
-void to_json(Json& j, const ProxiesTold& m) { j = {{"proxies", m.proxies}}; }
-void from_json(const Json& j, ProxiesTold& m) { j.at("proxies").get_to(m.proxies); }
-void to_json(Json& j, const Subscribe& m) { j = {{"node", m.node}, {"version", m.version}}; }
-void from_json(const Json& j, Subscribe& m) { j.at("node").get_to(m.node), j.at("version").get_to(m.version); }
+void to_json(Json& j, const ProxiesTold& m) {
+    j = {{"subscribers", m.subscribers}, {"current", m.current}, {"weight", m.weight}};
+    if (m.proxies) j["proxies"] = *m.proxies;
+}
+void from_json(const Json& j, ProxiesTold& m) {
+    j.at("subscribers").get_to(m.subscribers), j.at("current").get_to(m.current), j.at("weight").get_to(m.weight);
+    if (j.contains("proxies")) m.proxies = j.at("proxies").get<std::vector<std::string>>();
+}
+void to_json(Json& j, const Subscribe& m) { j = {{"node", m.node}, {"version", m.version}, {"zone", m.zone}}; }
+void from_json(const Json& j, Subscribe& m) {
+    j.at("node").get_to(m.node), j.at("version").get_to(m.version), j.at("zone").get_to(m.zone);
+}
 void to_json(Json& j, const ConfigurationTold& m) { j = {{"version", m.version}, {"body", m.body}}; }
 void from_json(const Json& j, ConfigurationTold& m) { j.at("version").get_to(m.version), j.at("body").get_to(m.body); }
 void to_json(Json& j, const FleetTold& m) {
-    j = {{"current", m.current}, {"place", m.place}, {"proxies", m.proxies}, {"controls", m.controls}};
+    j = {{"current", m.current},
+         {"current_elsewhere", m.current_elsewhere},
+         {"place", m.place},
+         {"proxies", m.proxies},
+         {"controls", m.controls}};
+    if (m.move_to) j["move_to"] = *m.move_to;
 }
 void from_json(const Json& j, FleetTold& m) {
-    j.at("current").get_to(m.current), j.at("place").get_to(m.place), j.at("proxies").get_to(m.proxies);
-    j.at("controls").get_to(m.controls);
+    j.at("current").get_to(m.current), j.at("current_elsewhere").get_to(m.current_elsewhere);
+    j.at("place").get_to(m.place), j.at("proxies").get_to(m.proxies), j.at("controls").get_to(m.controls);
+    if (j.contains("move_to")) m.move_to = j.at("move_to").get<ControlNode>();
 }
 
 std::string encode(const Message& message) {
--- a/src/messages/messages.hpp
+++ b/src/messages/messages.hpp
@@ -51,15 +51,19 @@
     std::vector<std::pair<std::string, uint64_t>> sequences;   // by host id
 };
 
-// Proxies subscribed at the sender, by node name.
+// Proxies subscribed at the sender, and how it stands. Told several times a second.
 struct ProxiesTold {
-    std::vector<std::string> proxies;
+    std::optional<std::vector<std::string>> proxies;   // by node name; nothing: those that were told last
+    size_t subscribers = 0;
+    bool current = false;   // the sender is in touch with a leader that has a quorum
+    double weight = 1;      // how many subscribers it bears, in proportion to other control nodes
 };
 
 // First message of a proxy on its subscription.
 struct Subscribe {
     std::string node;
     uint64_t version = 0;   // of the configuration it has
+    std::string zone;
 };
 
 struct ConfigurationTold {
@@ -69,10 +73,12 @@
 
 // Told to each subscriber several times a second.
 struct FleetTold {
-    bool current = false;   // the sender is in touch with a leader that has a quorum
-    size_t place = 0;       // of the receiver among the proxies
+    bool current = false;             // the sender is in touch with a leader that has a quorum
+    bool current_elsewhere = false;   // it is not, and another control node may be
+    size_t place = 0;                 // of the receiver among the proxies
     size_t proxies = 1;
     std::vector<ControlNode> controls;
+    std::optional<ControlNode> move_to;   // where the receiver should subscribe instead
 };
 
 // Proxies ask for leases at the control node to which they subscribe; asks and replies go by way of it to the leader and
--- a/src/roles/control/configuration_fanout.hpp
+++ b/src/roles/control/configuration_fanout.hpp
@@ -1,8 +1,9 @@
 // Which subscribers are sent the newest configuration when.
 //
-// A configuration is sent whole, over a link that the control node shares with the proxy on its machine. While changes come
-// faster than a part of that link carries their copies, subscribers skip versions: what is out of date before it leaves
-// is not sent.
+// A configuration is sent whole, over a link that the control node shares with the proxy on its machine. Copies leave one
+// by one, to whoever has been out of date the longest, at a pace that leaves most of the link to others; where there are
+// many subscribers the pace rises, up to a bound. While changes come faster than that, subscribers skip versions: what is
+// out of date before it leaves is not sent.
 #pragma once
 #include <map>
 #include <string>
@@ -16,33 +17,37 @@
 
 class ConfigurationFanout {
 public:
-    // `link_megabits`: of the machine's own link, in Mbit/s.
+    // `link_megabits`: of the machine's own link, in Mbit/s; 0: not known, copies are not paced.
     explicit ConfigurationFanout(double link_megabits) : link_megabits_(link_megabits) {}
 
     // The newest one that is committed. False: it is known already, or older.
-    bool committed(uint64_t version, const std::string& body);
+    bool committed(uint64_t version, const std::string& body, Time now);
     uint64_t version() const { return version_; }
     const std::string& body() const { return body_; }
     messages::ConfigurationTold told() const { return {version_, body_}; }
 
     // A subscription that holds this version begins, or has ended.
-    void subscribed(LinkNumber link, uint64_t version) { held_[link] = version; }
+    void subscribed(LinkNumber link, uint64_t version) { held_[link] = {version, long_ago}; }
     void left(LinkNumber link) { held_.erase(link); }
 
-    // Whether the newest is to be sent to that subscriber now, at the begin of its subscription; it counts as sent.
-    bool take(LinkNumber link);
-    // Those to send it to now; it counts as sent to them.
+    // Those to send it to now; it counts as sent to them. Called at least ten times a second.
     std::vector<LinkNumber> take_due(Time now);
 
-    // How long copies for so many subscribers keep back the next ones.
-    Span pause_after(size_t copies) const;
-
 private:
+    struct Held {
+        uint64_t version = 0;   // sent last
+        Time out_of_date_since =
+            long_ago;   // where there is a newer one; since the subscription began, if that was before
+    };
+    std::vector<LinkNumber> out_of_date() const;   // the longest first
+    Span pause(size_t waiting) const;              // after a copy, while so many subscribers wait
+
     double link_megabits_;
     uint64_t version_ = 0;
     std::string body_;
-    std::map<LinkNumber, uint64_t> held_;   // by subscriber, the version sent to it last
-    Time next_ = long_ago;
+    std::map<LinkNumber, Held> held_;   // by subscriber
+    Time next_ = long_ago;              // when the next copy may leave
+    bool was_idle_ = true;              // nobody waited at the last call
 };
 
 }   // namespace myrtleroute::control
--- a/src/roles/control/configuration_service.cpp
+++ b/src/roles/control/configuration_service.cpp
@@ -52,6 +52,7 @@
 
 void ConfigurationService::take(Order order, Time now) {
     if (waiting_.size() >= most_waiting) {
+        ++bounds_.orders;
         outputs_.push_back(refusal(order.request, 503, "too many orders wait"));
         return;
     }
@@ -112,7 +113,10 @@
     auto state = replica_.entry()->state;
     state.version = version;
     state.configuration = order.body;
-    if (state.accepted.size() >= most_accepted) state.accepted.erase(state.accepted.begin());
+    if (state.accepted.size() >= most_accepted) {
+        state.accepted.erase(state.accepted.begin());
+        ++bounds_.accepted_digests;
+    }
     state.accepted.push_back({version, sent});
     auto answer = accepted(order.request, version);
     in_progress_ = InProgress{std::move(order), std::move(answer), {}, {}};
--- a/src/roles/control/configuration_service.hpp
+++ b/src/roles/control/configuration_service.hpp
@@ -10,13 +10,15 @@
 
 #include "configuration/configuration.hpp"
 #include "consensus/replica.hpp"
+#include "roles/control/bounds_reached.hpp"
 #include "roles/control/outputs.hpp"
 
 namespace myrtleroute::control {
 
 class ConfigurationService {
 public:
-    ConfigurationService(consensus::Replica& replica, Outputs& outputs) : replica_(replica), outputs_(outputs) {}
+    ConfigurationService(consensus::Replica& replica, Outputs& outputs, BoundsReached& bounds)
+        : replica_(replica), outputs_(outputs), bounds_(bounds) {}
 
     // The caller has made sure that this replica leads. `if_match`: nothing where the header is missing or unsound.
     void put(RequestNumber request, std::optional<uint64_t> if_match, std::string body, Time now);
@@ -50,6 +52,7 @@
 
     consensus::Replica& replica_;
     Outputs& outputs_;
+    BoundsReached& bounds_;
     std::deque<Order> waiting_;
     std::optional<InProgress> in_progress_;
 };
--- a/src/roles/control/host_service.cpp
+++ b/src/roles/control/host_service.cpp
@@ -112,7 +112,11 @@
     for (const auto& host : hosts.hosts)
         if (table_.merge(host, now)) changed.push_back(*table_.find(host.id));
     if (!changed.empty()) spread_.tell_subscribers(changed);
-    if (!hosts.confirm || owed_.size() >= most_owed) return;
+    if (!hosts.confirm) return;
+    if (owed_.size() >= most_owed) {
+        ++bounds_.confirmations;
+        return;
+    }
     owed_.push_back({by, hosts.confirm, spread_.write()});
     settle_written();
 }
--- a/src/roles/control/host_service.hpp
+++ b/src/roles/control/host_service.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "registry/host_table.hpp"
+#include "roles/control/bounds_reached.hpp"
 #include "roles/control/outputs.hpp"
 
 namespace myrtleroute::control {
@@ -27,8 +28,9 @@
         std::function<uint64_t()> write;   // the hosts as known now; the number that `written` will be told
         std::function<void(const consensus::ReplicaId&, const messages::Message&)> tell;   // one control node
     };
-    HostService(registry::HostTableOptions options, Outputs& outputs, Spread spread, consensus::ReplicaId self)
-        : table_(options), outputs_(outputs), spread_(std::move(spread)), self_(std::move(self)) {}
+    HostService(registry::HostTableOptions options, Outputs& outputs, BoundsReached& bounds, Spread spread,
+                consensus::ReplicaId self)
+        : table_(options), outputs_(outputs), bounds_(bounds), spread_(std::move(spread)), self_(std::move(self)) {}
 
     // `current`: this node is in touch with a majority.
     void heartbeat(RequestNumber request, const std::string& id, const std::string& body, bool current, Time now);
@@ -43,6 +45,7 @@
     void tick(Time now, bool current);
 
     std::vector<registry::Host> all() const { return table_.all(); }
+    uint64_t evicted() const { return table_.evicted(); }
 
 private:
     struct Unconfirmed {
@@ -67,6 +70,7 @@
 
     registry::HostTable table_;
     Outputs& outputs_;
+    BoundsReached& bounds_;
     Spread spread_;
     consensus::ReplicaId self_;
     uint64_t written_ = 0;
--- a/src/roles/control/lending_service.cpp
+++ b/src/roles/control/lending_service.cpp
@@ -61,6 +61,7 @@
         applicants_.insert(ask.holder.node);
         change_nodes(now);
     }
+    if (allocator_.is_full_for(ask.holder)) ++bounds_.lease_holders;
     auto reply = allocator_.ask(ask, now);
     check_invariant();
     return reply;
@@ -85,7 +86,10 @@
     std::erase_if(nodes,
                   [&](const auto& node) { return now - allocator_.heard(node).value_or(lends_since_) > forgotten; });
     for (const auto& node : applicants_)
-        if (nodes.size() < most_nodes) nodes.insert(node);
+        if (nodes.size() < most_nodes)
+            nodes.insert(node);
+        else
+            ++bounds_.lease_nodes;
     auto state = replica_.entry()->state;
     state.lease_holders.assign(nodes.begin(), nodes.end());
     if (state != replica_.entry()->state) replica_.propose(std::move(state), now);
--- a/src/roles/control/lending_service.hpp
+++ b/src/roles/control/lending_service.hpp
@@ -12,12 +12,14 @@
 
 #include "consensus/replica.hpp"
 #include "leases/allocator.hpp"
+#include "roles/control/bounds_reached.hpp"
 
 namespace myrtleroute::control {
 
 class LendingService {
 public:
-    LendingService(consensus::Replica& replica, leases::LimitRule rule) : replica_(replica), allocator_(rule) {}
+    LendingService(consensus::Replica& replica, leases::LimitRule rule, BoundsReached& bounds)
+        : replica_(replica), bounds_(bounds), allocator_(rule) {}
 
     // The configuration that is committed, as the operator sent it.
     void configured(const std::string& body);
@@ -26,7 +28,6 @@
     std::optional<leases::LeaseReply> ask(const leases::LeaseAsk& ask, Time now);
 
     bool lends() const { return lends_; }
-    const leases::Allocator& allocator() const { return allocator_; }
     // Of the allocator's invariant, since the start.
     uint64_t violations() const { return violations_; }
     const std::string& last_violation() const { return last_violation_; }
@@ -40,6 +41,7 @@
     void check_invariant();
 
     consensus::Replica& replica_;
+    BoundsReached& bounds_;
     leases::Allocator allocator_;
     leases::LeaseTerms terms_;
     std::optional<std::string> configuration_;   // whose limits the allocator has yet to be told
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -8,10 +8,11 @@
 namespace myrtleroute::control {
 namespace {
 
-constexpr Span fleet_every{0.25}, proxies_every{0.25}, hosts_every{1};
+constexpr Span fleet_every{0.25}, proxies_every{0.25}, names_every{1}, hosts_every{1}, moves_every{1};
 constexpr Span barrier_again{0.2};   // a barrier that has not held by then is asked for again
 constexpr size_t most_known = 64;    // control nodes
 constexpr size_t most_waiting_asks = 4096;
+constexpr double weight_unknown = 1000;   // Mbit/s, of a link of which nothing is known
 constexpr std::string_view instances = "/instances/";
 
 }   // namespace
@@ -22,8 +23,8 @@
       hard_state_(stored.hard_state),
       replica_({options_.self.peer, stored.disk}, stored.hard_state, std::move(stored.entry), options_.replica,
                options_.seed, now),
-      configurations_(replica_, outputs_),
-      hosts_(options_.hosts, outputs_,
+      configurations_(replica_, outputs_, bounds_),
+      hosts_(options_.hosts, outputs_, bounds_,
              {[this](const messages::Message& message) { tell_all(message); },
               [this](const std::vector<registry::Host>& hosts) { tell_hosts(hosts); },
               [this](const std::set<consensus::ReplicaId>& present) { return is_majority(present); },
@@ -32,7 +33,7 @@
                   outputs_.push_back(ToPeer{to.endpoint, message});
               }},
              replica_.self()),
-      lending_(replica_, options_.limit_rule),
+      lending_(replica_, options_.limit_rule, bounds_),
       fanout_(options_.link_megabits) {
     hosts_.remember(stored.hosts, now);
     for (const auto& seed : options_.seeds)
@@ -49,6 +50,8 @@
     state.lends = lending_.lends();
     state.lending_violations = lending_.violations();
     state.last_lending_violation = lending_.last_violation();
+    state.bounds = bounds_;
+    state.bounds.hosts = hosts_.evicted();
     return state;
 }
 
@@ -109,11 +112,11 @@
 
 // Other processes.
 
-void Node::connected(const Endpoint& peer, Time) {
+void Node::connected(const Endpoint& peer, Time now) {
     outputs_.push_back(
         ToPeer{peer, messages::PeerHello{replica_.self(), options_.self, options_.may_vote, controls()}});
     outputs_.push_back(ToPeer{peer, messages::HostsTold{hosts_.all(), 0, true}});
-    outputs_.push_back(ToPeer{peer, proxies_.own()});
+    outputs_.push_back(ToPeer{peer, own_proxies(true, now)});
 }
 
 void Node::received(LinkNumber link, const messages::Message& message, Time now) {
@@ -123,9 +126,13 @@
     carry_out(now);
 }
 
-void Node::link_closed(LinkNumber link, Time) {
+void Node::link_closed(LinkNumber link, Time now) {
     links_.erase(link);
-    proxies_.left(link);
+    proxies_.left(link, now);
+    end_subscription(link);
+}
+
+void Node::end_subscription(LinkNumber link) {
     waiting_.erase(link);
     asked_for_.erase(link);
     proven_.erase(link);
@@ -135,14 +142,22 @@
 void Node::handle(LinkNumber link, const messages::PeerHello& hello, Time now) {
     links_[link] = {hello.replica, hello.node.peer, hello.may_vote};
     known_[hello.node.peer] = hello.node;
-    for (const auto& node : hello.known) {
-        if (node.peer == options_.self.peer || known_.size() >= most_known) continue;
-        const auto [known, fresh] = known_.try_emplace(node.peer, node);
-        if (!fresh && known->second.zone.empty()) known->second = node;
-    }
+    for (const auto& node : hello.known) note_control_node(node);
     replica_.greeted(hello.replica, hello.may_vote, now);
 }
 
+void Node::note_control_node(const messages::ControlNode& node) {
+    if (node.peer == options_.self.peer) return;
+    if (const auto known = known_.find(node.peer); known != known_.end()) {
+        if (known->second.zone.empty()) known->second = node;
+        return;
+    }
+    if (known_.size() < most_known)
+        known_[node.peer] = node;
+    else
+        ++bounds_.control_nodes;
+}
+
 void Node::handle(LinkNumber link, const messages::ConsensusMessage& message, Time now) {
     const auto from = links_.find(link);
     if (from == links_.end() || message.to_disk != disk_) return;
@@ -168,8 +183,12 @@
 }
 
 void Node::handle(LinkNumber link, const messages::Subscribe& subscribe, Time now) {
-    proxies_.subscribed(link, subscribe.node);
-    tell_fleet(link, proxies_.names(), true, now);
+    const auto earlier = proxies_.subscribed(link, subscribe, now);
+    if (!earlier) return;
+    for (const auto ended : *earlier) end_subscription(ended);
+    auto fleet = fleet_for(link, proxies_.names(), now);
+    fleet.controls = controls();
+    outputs_.push_back(ToLink{link, std::move(fleet)});
     waiting_[link] = subscribe.version;
     fanout_.left(link);   // until the subscription has begun
     begin_subscriptions(now);
@@ -188,6 +207,7 @@
     }
     if (proven_.empty() || !knows_hosts() || told_index_ < proven_index_) return;
     for (const auto link : std::exchange(proven_, {})) begin_subscription(link);
+    tell_configuration(now);
     barrier_at_ = long_ago;   // those that have come meanwhile need not wait
 }
 
@@ -195,7 +215,6 @@
     const auto waiting = waiting_.extract(link);
     if (waiting.empty() || !proxies_.is_subscriber(link)) return;
     fanout_.subscribed(link, waiting.mapped());
-    if (fanout_.take(link)) outputs_.push_back(ToLink{link, fanout_.told()});
     outputs_.push_back(ToLink{link, messages::HostsTold{hosts_.all(), 0, true}});
 }
 
@@ -214,7 +233,10 @@
         else
             outputs_.push_back(ToLink{link, std::move(*reply)});
     } else if (replica_.role() == consensus::Role::leader) {
-        if (waiting_asks_.size() < most_waiting_asks) waiting_asks_.emplace_back(link, ask);
+        if (waiting_asks_.size() < most_waiting_asks)
+            waiting_asks_.emplace_back(link, ask);
+        else
+            ++bounds_.lease_asks;
     } else if (from == links_.end() && replica_.leader()) {
         outputs_.push_back(ToPeer{replica_.leader()->endpoint, ask});
     }
@@ -239,27 +261,65 @@
         if (!waiting_.count(link)) outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0, false}});
 }
 
-void Node::tell_fleet(LinkNumber link, const std::vector<std::string>& names, bool with_controls, Time now) {
+messages::FleetTold Node::fleet_for(LinkNumber link, const std::vector<std::string>& names, Time now) const {
     messages::FleetTold fleet;
     fleet.current = replica_.is_current(now);
+    fleet.current_elsewhere = !fleet.current && may_be_current_elsewhere(now);
     const auto at = std::lower_bound(names.begin(), names.end(), proxies_.name(link));
     fleet.place = static_cast<size_t>(at - names.begin());
     fleet.proxies = std::max<size_t>(1, names.size());
-    if (with_controls) fleet.controls = controls();
-    outputs_.push_back(ToLink{link, std::move(fleet)});
+    return fleet;
 }
 
-// Subscribers are told a configuration once it is committed, and never an older one. The entry may be replaced by one that is
-// not committed yet, so what was committed is kept apart.
-void Node::note_configuration() {
-    const auto& entry = replica_.entry();
-    if (!entry || entry->position.index > replica_.committed()) return;
-    told_index_ = std::max(told_index_, entry->position.index);
-    if (fanout_.committed(entry->state.version, entry->state.configuration)) lending_.configured(fanout_.body());
+// While nobody leads, no node is current, and a proxy that looked for another one would only lose time.
+bool Node::may_be_current_elsewhere(Time now) const { return proxies_.hears_any_current(now) || is_isolated(now); }
+
+bool Node::is_isolated(Time now) const {
+    if (!replica_.entry()) return true;
+    const auto& voters = replica_.entry()->state.voters;
+    const auto heard = std::count_if(voters.begin(), voters.end(), [&](const auto& voter) {
+        return voter.endpoint == options_.self.peer || proxies_.hears(voter.endpoint, now);
+    });
+    return 2 * static_cast<size_t>(heard) <= voters.size();
+}
+
+messages::ProxiesTold Node::own_proxies(bool with_names, Time now) const {
+    messages::ProxiesTold told;
+    if (with_names) told.proxies = proxies_.own_names();
+    told.subscribers = proxies_.subscriber_count();
+    told.current = replica_.is_current(now);
+    told.weight = options_.link_megabits > 0 ? options_.link_megabits : weight_unknown;
+    return told;
+}
+
+// To the other control nodes; the names where they have changed, and now and then.
+void Node::tell_own_proxies(Time now) {
+    auto names = proxies_.own_names();
+    const bool with_names = now >= names_at_ || names != names_told_;
+    if (with_names) names_at_ = now + names_every;
+    names_told_ = std::move(names);
+    tell_all(own_proxies(with_names, now));
+}
+
+void Node::move_subscribers(Time now) {
+    const NodeLoad self{options_.self, own_proxies(false, now).weight, 0};
+    const auto names = proxies_.names();
+    for (const auto& move : proxies_.plan_moves(self, known_, now)) {
+        auto fleet = fleet_for(move.link, names, now);
+        fleet.move_to = move.to;
+        outputs_.push_back(ToLink{move.link, std::move(fleet)});
+    }
 }
 
+// Subscribers are told a configuration once it is committed, and never an older one. The entry may be replaced by one that is
+// not committed yet, so what was committed is kept apart.
 void Node::tell_configuration(Time now) {
-    note_configuration();
+    const auto& entry = replica_.entry();
+    if (entry && entry->position.index <= replica_.committed()) {
+        told_index_ = std::max(told_index_, entry->position.index);
+        if (fanout_.committed(entry->state.version, entry->state.configuration, now))
+            lending_.configured(fanout_.body());
+    }
     for (const auto link : fanout_.take_due(now)) outputs_.push_back(ToLink{link, fanout_.told()});
 }
 
@@ -367,14 +427,22 @@
     begin_subscriptions(now);
     if (now >= proxies_at_) {
         proxies_at_ = now + proxies_every;
-        tell_all(proxies_.own());
+        tell_own_proxies(now);
+    }
+    if (current && now >= moves_at_) {
+        moves_at_ = now + moves_every;
+        move_subscribers(now);
     }
     if (now >= fleet_at_ || current != current_told_) {
         fleet_at_ = now + fleet_every;
         const bool with_controls = std::exchange(known_told_, known_.size()) != known_.size();
         current_told_ = current;
         const auto names = proxies_.names();
-        for (const auto link : proxies_.subscribers()) tell_fleet(link, names, with_controls, now);
+        for (const auto link : proxies_.subscribers()) {
+            auto fleet = fleet_for(link, names, now);
+            if (with_controls) fleet.controls = controls();
+            outputs_.push_back(ToLink{link, std::move(fleet)});
+        }
     }
     if (now >= hosts_at_) {
         hosts_at_ = now + hosts_every;
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "consensus/replica.hpp"
+#include "roles/control/bounds_reached.hpp"
 #include "roles/control/configuration_fanout.hpp"
 #include "roles/control/configuration_service.hpp"
 #include "roles/control/host_service.hpp"
@@ -90,11 +91,17 @@
     void answer_waiting_asks(Time now);
     void tell_all(const messages::Message& message);
     void tell_hosts(const std::vector<registry::Host>& hosts);
-    void tell_fleet(LinkNumber link, const std::vector<std::string>& names, bool with_controls, Time now);
-    void note_configuration();
+    messages::FleetTold fleet_for(LinkNumber link, const std::vector<std::string>& names, Time now) const;
+    void end_subscription(LinkNumber link);
+    bool may_be_current_elsewhere(Time now) const;
+    bool is_isolated(Time now) const;   // it hears no majority of the voters
+    void tell_own_proxies(Time now);
+    void move_subscribers(Time now);
+    void note_control_node(const messages::ControlNode& node);
     void tell_configuration(Time now);
     void begin_subscriptions(Time now);   // of proxies that wait for proof of contact
     void begin_subscription(LinkNumber link);
+    messages::ProxiesTold own_proxies(bool with_names, Time now) const;
     void carry_out(Time now);   // what the replica asks for
     void barrier_passed(const consensus::BarrierPassed& passed, Time now);
     void write(const consensus::Persist& persist);
@@ -107,6 +114,7 @@
 
     NodeOptions options_;
     Outputs outputs_;
+    BoundsReached bounds_;
     uint64_t disk_;
     consensus::HardState hard_state_;
     consensus::Replica replica_;
@@ -135,7 +143,9 @@
     uint64_t proven_index_ = 0;   // that must be told of before `proven_` are begun
     Time barrier_at_ = long_ago;
     Time hosts_at_ = long_ago;
-    Time fleet_at_ = long_ago, proxies_at_ = long_ago;
+    Time fleet_at_ = long_ago, proxies_at_ = long_ago, moves_at_ = long_ago;
+    std::vector<std::string> names_told_;   // of own proxies, last
+    Time names_at_ = long_ago;
     size_t known_told_ = 0;
     bool current_told_ = false;
 };
--- a/src/roles/control/node_figures.cpp
+++ b/src/roles/control/node_figures.cpp
@@ -1,5 +1,6 @@
 #include "roles/control/node_figures.hpp"
 
+#include "base/bounds.hpp"
 #include "roles/log.hpp"
 
 namespace myrtleroute::control {
@@ -13,7 +14,20 @@
       lends_(registry.gauge("myrtleroute_control_lends", "1: this node lends the tenants' limits; else 0.")),
       lending_violations_(registry.counter("myrtleroute_invariant_violations_total",
                                            "Violations of what must always hold; any is a fault.",
-                                           {{"invariant", "lent_within_budget"}})) {}
+                                           {{"invariant", "lent_within_budget"}})) {
+    const std::pair<const char*, uint64_t BoundsReached::*> tables[] = {
+        {"orders", &BoundsReached::orders},
+        {"accepted_digests", &BoundsReached::accepted_digests},
+        {"lease_asks", &BoundsReached::lease_asks},
+        {"lease_holders", &BoundsReached::lease_holders},
+        {"lease_nodes", &BoundsReached::lease_nodes},
+        {"confirmations", &BoundsReached::confirmations},
+        {"hosts", &BoundsReached::hosts},
+        {"control_nodes", &BoundsReached::control_nodes},
+        {"queued_bytes", &BoundsReached::queued_bytes},
+    };
+    for (const auto& [table, reached] : tables) bounds_.push_back({reached, bound_counter(registry, table)});
+}
 
 void NodeFigures::show(const NodeState& state) {
     proxies_.set(static_cast<double>(state.proxies));
@@ -26,6 +40,8 @@
     if (state.lending_violations > 0 && shown_violations_ == 0)
         log_error() << "invariant lent_within_budget is violated: " << state.last_lending_violation;
     shown_violations_ = state.lending_violations;
+    for (auto& bound : bounds_)
+        bound.counter.add(static_cast<double>(state.bounds.*bound.reached) - bound.counter.value());
 }
 
 }   // namespace myrtleroute::control
--- a/src/roles/control/node_figures.hpp
+++ b/src/roles/control/node_figures.hpp
@@ -3,8 +3,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/metrics.hpp"
+#include "roles/control/bounds_reached.hpp"
 
 namespace myrtleroute::control {
 
@@ -18,6 +20,7 @@
     bool lends = false;                   // the tenants' limits
     uint64_t lending_violations = 0;      // of the allocator's invariant, since the start
     std::string last_lending_violation;   // what the last one was
+    BoundsReached bounds;
 };
 
 class NodeFigures {
@@ -26,9 +29,15 @@
     void show(const NodeState& state);
 
 private:
+    // How often one table was full.
+    struct Bound {
+        uint64_t BoundsReached::*reached;
+        metrics::Counter counter;
+    };
     metrics::Gauge proxies_, subscribers_, leads_, current_, term_, lends_;
     metrics::Counter lending_violations_;
     uint64_t shown_violations_ = 0;
+    std::vector<Bound> bounds_;
 };
 
 }   // namespace myrtleroute::control
--- a/src/roles/control/peer_network.cpp
+++ b/src/roles/control/peer_network.cpp
@@ -13,8 +13,7 @@
 using asio::ip::tcp;
 using std::chrono::steady_clock;
 
-constexpr size_t most_queued = 40 << 20;   // bytes; a reader that slow is given up
-constexpr int unacknowledged_ms = 1500;    // then the other end counts as dead
+constexpr int unacknowledged_ms = 1500;   // then the other end counts as dead
 constexpr std::chrono::milliseconds redial_after{100}, connect_within{1000};
 
 void set_options(tcp::socket& socket) {
@@ -57,7 +56,10 @@
     if (closed_) return;
     auto bytes = messages::frame(messages::encode(message));
     queued_bytes_ += bytes.size();
-    if (queued_bytes_ > most_queued) return closed();
+    if (queued_bytes_ > most_queued) {
+        if (on_overflow) on_overflow();
+        return closed();
+    }
     queue_.push_back(std::move(bytes));
     if (!writing_) write();
 }
@@ -108,6 +110,9 @@
             connection->on_message = [this, number](const messages::Message& message) {
                 events_.received(number, message);
             };
+            connection->on_overflow = [this] {
+                ++slow_readers_;
+            };
             connection->on_closed = [this, number] {
                 links_.erase(number);
                 events_.link_closed(number);
@@ -142,6 +147,9 @@
     dialed.up = false;
     auto connection = std::make_shared<FramedConnection>(tcp::socket(context_));
     dialed.connection = connection;
+    connection->on_overflow = [this] {
+        ++slow_readers_;
+    };
     connection->on_closed = [this, peer, raw = connection.get()] {
         const auto it = dialed_.find(peer);
         if (it == dialed_.end() || it->second.connection.get() != raw) return;
--- a/src/roles/control/peer_network.hpp
+++ b/src/roles/control/peer_network.hpp
@@ -17,8 +17,11 @@
 // A connection that carries framed messages.
 class FramedConnection : public std::enable_shared_from_this<FramedConnection> {
 public:
+    static constexpr size_t most_queued = 40 << 20;   // bytes; a reader that slow is given up
+
     explicit FramedConnection(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {}
     std::function<void(const messages::Message&)> on_message;
+    std::function<void()> on_overflow;   // before `on_closed`
     std::function<void()> on_closed;
 
     void start();   // the socket is connected
@@ -53,6 +56,7 @@
     void keep_connected(const std::vector<Endpoint>& peers);   // called again and again
     void send(const Endpoint& peer, const messages::Message& message);
     void send(LinkNumber link, const messages::Message& message);
+    uint64_t slow_readers() const { return slow_readers_; }   // connections given up since the start
 
 private:
     struct Dialed {
@@ -69,6 +73,7 @@
     std::map<LinkNumber, std::shared_ptr<FramedConnection>> links_;
     std::map<Endpoint, Dialed> dialed_;
     LinkNumber next_link_ = 1;
+    uint64_t slow_readers_ = 0;
 };
 
 }   // namespace myrtleroute::control
--- a/src/roles/control/proxy_directory.cpp
+++ b/src/roles/control/proxy_directory.cpp
@@ -7,49 +7,109 @@
 namespace myrtleroute::control {
 namespace {
 
-constexpr Span stale{3};   // what another control node told longer ago no longer counts
+constexpr Span stale{3};        // what another control node told longer ago no longer counts
+constexpr Span heard{0.8};      // a node that told of itself longer ago may be away
+constexpr Span move_grace{1};   // in which a proxy that moves is counted at the node that it has left
 
 }   // namespace
 
-void ProxyDirectory::subscribed(LinkNumber link, const std::string& node) {
-    std::erase_if(subscribers_, [&](const auto& known) { return known.second == node; });
-    subscribers_[link] = node;
+std::optional<std::vector<LinkNumber>> ProxyDirectory::subscribed(LinkNumber link, const messages::Subscribe& subscribe,
+                                                                  Time now) {
+    std::vector<LinkNumber> earlier;
+    for (const auto& [known, subscriber] : subscribers_) {
+        if (subscriber.node != subscribe.node || known == link) continue;
+        if (known > link) return {};
+        earlier.push_back(known);
+    }
+    for (const auto known : earlier) subscribers_.erase(known);
+    moved_.erase(subscribe.node);
+    subscribers_[link] = {subscribe.node, subscribe.zone, now};
+    return earlier;
+}
+
+void ProxyDirectory::left(LinkNumber link, Time now) {
+    const auto subscriber = subscribers_.extract(link);
+    const auto moving = moving_.extract(link);
+    if (subscriber.empty() || moving.empty() || now - moving.mapped() > move_grace) return;
+    moved_[subscriber.mapped().node] = now;
 }
 
 void ProxyDirectory::told(const Endpoint& by, messages::ProxiesTold proxies, Time now) {
-    elsewhere_[by] = {std::move(proxies), now};
+    auto& known = elsewhere_[by];
+    if (proxies.proxies) {
+        known.names = std::move(*proxies.proxies);
+        known.names_at = now;
+    }
+    proxies.proxies.reset();
+    known.told = std::move(proxies);
+    known.at = now;
 }
 
 void ProxyDirectory::tick(Time now) {
-    std::erase_if(elsewhere_, [&](const auto& known) { return now - known.second.told > stale; });
+    std::erase_if(elsewhere_, [&](const auto& known) { return now - known.second.at > stale; });
+    for (auto& [by, known] : elsewhere_)
+        if (now - known.names_at > stale) known.names.clear();
+    std::erase_if(moved_, [&](const auto& known) { return now - known.second > move_grace; });
+    std::erase_if(moving_, [&](const auto& known) { return now - known.second > move_grace; });
 }
 
 std::vector<LinkNumber> ProxyDirectory::subscribers() const {
     std::vector<LinkNumber> links;
-    for (const auto& [link, node] : subscribers_) links.push_back(link);
+    for (const auto& [link, subscriber] : subscribers_) links.push_back(link);
     return links;
 }
 
 std::optional<LinkNumber> ProxyDirectory::link_of(const std::string& node) const {
     const auto is_it = [&](const auto& known) {
-        return known.second == node;
+        return known.second.node == node;
     };
     const auto known = std::find_if(subscribers_.begin(), subscribers_.end(), is_it);
     return known == subscribers_.end() ? std::nullopt : std::optional(known->first);
 }
 
-messages::ProxiesTold ProxyDirectory::own() const {
-    messages::ProxiesTold told;
-    for (const auto& [link, node] : subscribers_) told.proxies.push_back(node);
-    return told;
+std::vector<std::string> ProxyDirectory::own_names() const {
+    std::vector<std::string> names;
+    for (const auto& [link, subscriber] : subscribers_) names.push_back(subscriber.node);
+    for (const auto& [node, left] : moved_) names.push_back(node);
+    return names;
 }
 
 std::vector<std::string> ProxyDirectory::names() const {
-    std::set<std::string> sorted;
-    for (const auto& [link, node] : subscribers_) sorted.insert(node);
-    for (const auto& [by, known] : elsewhere_)
-        sorted.insert(known.proxies.proxies.begin(), known.proxies.proxies.end());
+    const auto own = own_names();
+    std::set<std::string> sorted(own.begin(), own.end());
+    for (const auto& [by, known] : elsewhere_) sorted.insert(known.names.begin(), known.names.end());
     return {sorted.begin(), sorted.end()};
 }
 
+bool ProxyDirectory::hears(const Endpoint& peer, Time now) const {
+    const auto known = elsewhere_.find(peer);
+    return known != elsewhere_.end() && now - known->second.at < heard;
+}
+
+bool ProxyDirectory::hears_current(const Endpoint& peer, Time now) const {
+    return hears(peer, now) && elsewhere_.at(peer).told.current;
+}
+
+bool ProxyDirectory::hears_any_current(Time now) const {
+    return std::any_of(elsewhere_.begin(), elsewhere_.end(),
+                       [&](const auto& known) { return hears_current(known.first, now); });
+}
+
+std::vector<Move> ProxyDirectory::plan_moves(NodeLoad self, const std::map<Endpoint, messages::ControlNode>& nodes,
+                                             Time now) {
+    self.subscribers = subscribers_.size();
+    std::vector<NodeLoad> others;
+    for (const auto& [peer, node] : nodes)
+        if (hears_current(peer, now)) {
+            const auto& told = elsewhere_.at(peer).told;
+            others.push_back({node, told.weight, told.subscribers});
+        }
+    std::vector<PlacedSubscriber> proxies;
+    for (const auto& [link, subscriber] : subscribers_)
+        proxies.push_back({link, subscriber.zone, now - subscriber.since});
+    auto moves = control::plan_moves(self, others, proxies);
+    for (const auto& move : moves) moving_[move.link] = now;
+    return moves;
+}
+
 }   // namespace myrtleroute::control
--- a/src/roles/control/runtime.cpp
+++ b/src/roles/control/runtime.cpp
@@ -95,7 +95,9 @@
     void serve_metrics() {
         const Endpoint at{settings_.address, settings_.metrics->port};
         const auto render = [this] {
-            figures_.show(node_->state(now()));
+            auto state = node_->state(now());
+            state.bounds.queued_bytes = network_.slow_readers();
+            figures_.show(state);
             return registry_.render();
         };
         metrics_ = std::make_unique<MetricsServer>(
--- a/src/roles/proxy/subscriber.cpp
+++ b/src/roles/proxy/subscriber.cpp
@@ -1,25 +1,50 @@
 #include "roles/proxy/subscriber.hpp"
 
+#include <algorithm>
+
 namespace myrtleroute::proxy {
 namespace {
 
 constexpr Span silent_after{1.2};   // control nodes speak several times a second
 constexpr Span open_within{0.6};
-constexpr Span out_of_touch_after{0.5};   // a node without a majority is left then, if there is another one to try
-constexpr Span avoided{2.5};              // a node that failed is tried again after this, or when all have failed
-constexpr size_t most_nodes = 64;
+// A node without a majority is left after this, if another one may have one; longer each time until one has.
+constexpr Span least_patience{0.5}, most_patience{2};
+constexpr double longer = 2;
+constexpr Span avoided{2.5};   // a node that failed is tried again after this, or when all have failed
 
 }   // namespace
 
+Subscriber::Subscriber(SubscriberOptions options)
+    : options_(std::move(options)), chance_(options_.seed), patience_(least_patience) {}
+
 void Subscriber::add_seeds(const std::vector<messages::ControlNode>& seeds) {
-    for (const auto& seed : seeds) nodes_.try_emplace(seed.peer, Node{seed, long_ago});
+    for (const auto& seed : seeds) know(seed);
+}
+
+Subscriber::Node& Subscriber::know(const messages::ControlNode& told) {
+    if (nodes_.size() >= most_nodes && !nodes_.count(told.peer)) forget_one();
+    auto& known = nodes_[told.peer];
+    if (!told.zone.empty() || known.node.zone.empty()) known.node = told;   // seeds are told without their zones
+    known.named = ++words_;
+    return known;
+}
+
+// The one that was named the longest ago, and is not connected to.
+void Subscriber::forget_one() {
+    auto oldest = nodes_.end();
+    for (auto it = nodes_.begin(); it != nodes_.end(); ++it) {
+        if (link_ != Link::none && it->first == at_) continue;
+        if (oldest == nodes_.end() || it->second.named < oldest->second.named) oldest = it;
+    }
+    nodes_.erase(oldest);
+    ++forgotten_;
 }
 
 void Subscriber::opened(uint64_t version, Time now) {
     if (link_ != Link::opening) return;
     link_ = Link::open;
     heard_ = now;
-    outputs_.push_back(SendOnLink{messages::Subscribe{options_.node, version}});
+    outputs_.push_back(SendOnLink{messages::Subscribe{options_.node, version, options_.zone}});
 }
 
 void Subscriber::failed(Time now) {
@@ -37,34 +62,52 @@
 void Subscriber::received(const messages::Message& message, Time now) {
     if (link_ != Link::open) return;
     heard_ = now;
-    if (const auto* fleet = std::get_if<messages::FleetTold>(&message)) {
-        if (fleet->current)
-            out_of_touch_since_ = long_ago;
-        else if (out_of_touch_since_ <= long_ago)
-            out_of_touch_since_ = now;
-        for (const auto& node : fleet->controls)
-            if (nodes_.size() < most_nodes || nodes_.count(node.peer)) nodes_[node.peer].node = node;
-    }
     outputs_.push_back(Told{message});
+    const auto* fleet = std::get_if<messages::FleetTold>(&message);
+    if (!fleet) return;
+    hear_contact(*fleet, now);
+    for (const auto& node : fleet->controls) know(node);
+    if (fleet->move_to) move(*fleet->move_to, now);
+}
+
+void Subscriber::hear_contact(const messages::FleetTold& fleet, Time now) {
+    if (fleet.current) patience_ = least_patience;
+    if (fleet.current || !fleet.current_elsewhere)
+        out_of_touch_since_ = long_ago;
+    else if (out_of_touch_since_ <= long_ago)
+        out_of_touch_since_ = now;
+}
+
+// The node that is left has not failed.
+void Subscriber::move(const messages::ControlNode& to, Time now) {
+    const auto& node = know(to);
+    if (to.peer == at_ || now - node.failed < avoided) return;
+    outputs_.push_back(CloseLink{memory::Why::told_to_close});
+    out_of_touch_since_ = long_ago;
+    open(to.peer, now);
 }
 
 void Subscriber::tick(Time now) {
     if (link_ != Link::none && now - heard_ > (link_ == Link::opening ? open_within : silent_after))
         leave(memory::Why::silent, now);
-    const bool out_of_touch = out_of_touch_since_ > long_ago && now - out_of_touch_since_ > out_of_touch_after;
+    const bool out_of_touch = out_of_touch_since_ > long_ago && now - out_of_touch_since_ > patience_;
     if (link_ != Link::none && out_of_touch) {
         nodes_[at_].failed = now;
         const auto* other = choose(now);
-        if (other && other->node.peer != at_) leave(memory::Why::told_to_close, now);
-    }
-    if (link_ == Link::none) {
-        const auto* node = choose(now);
-        if (!node) return;
-        link_ = Link::opening;
-        at_ = node->node.peer;
-        heard_ = now;
-        outputs_.push_back(OpenLink{at_});
+        if (other && other->node.peer != at_) {
+            patience_ = std::min(patience_ * longer, most_patience);
+            leave(memory::Why::told_to_close, now);
+        }
     }
+    if (link_ != Link::none) return;
+    if (const auto* node = choose(now)) open(node->node.peer, now);
+}
+
+void Subscriber::open(const Endpoint& to, Time now) {
+    link_ = Link::opening;
+    at_ = to;
+    heard_ = now;
+    outputs_.push_back(OpenLink{at_});
 }
 
 // Own machine, own zone, others; so that little crosses zones.
--- a/src/roles/proxy/subscriber.hpp
+++ b/src/roles/proxy/subscriber.hpp
@@ -1,5 +1,6 @@
 // The proxy's side of a subscription, as a state machine: one control node at a time, the nearest that is in touch with
-// a majority. The driver owns the connection; it tells what becomes of it and carries out what `take_outputs` returns.
+// a majority, or the one that a control node names. It stays with a node that is out of touch while no other is known to be
+// better off. The driver owns the connection; it tells what becomes of it and carries out what `take_outputs` returns.
 #pragma once
 #include <map>
 #include <string>
@@ -39,7 +40,9 @@
 
 class Subscriber {
 public:
-    explicit Subscriber(SubscriberOptions options) : options_(std::move(options)), chance_(options_.seed) {}
+    static constexpr size_t most_nodes = 64;
+
+    explicit Subscriber(SubscriberOptions options);
 
     void add_seeds(const std::vector<messages::ControlNode>& seeds);
     // The connection is up. `version`: of the configuration that this proxy has.
@@ -51,16 +54,24 @@
     std::vector<SubscriberOutput> take_outputs() { return std::exchange(outputs_, {}); }
     bool is_open() const { return link_ == Link::open; }
     const Endpoint& at() const { return at_; }   // the control node that is or was connected to last
+    size_t nodes() const { return nodes_.size(); }
+    uint64_t forgotten() const { return forgotten_; }   // control nodes that gave way for want of room
 
 private:
     struct Node {
         messages::ControlNode node;
         Time failed = long_ago;   // last time that it was silent, unreachable or out of touch with a majority
+        uint64_t named = 0;       // when it was last named by settings or a control node, in the order of such words
     };
     enum class Link { none, opening, open };
     Node* choose(Time now);
     int distance(const Node& node) const;
     void leave(memory::Why why, Time now);
+    Node& know(const messages::ControlNode& told);
+    void forget_one();
+    void hear_contact(const messages::FleetTold& fleet, Time now);
+    void move(const messages::ControlNode& to, Time now);
+    void open(const Endpoint& to, Time now);
 
     SubscriberOptions options_;
     Pcg chance_;
@@ -69,6 +80,8 @@
     Link link_ = Link::none;
     Endpoint at_;
     Time heard_ = long_ago, out_of_touch_since_ = long_ago;
+    Span patience_;   // with a node that is out of touch; longer each time that one was left for it
+    uint64_t words_ = 0, forgotten_ = 0;
 };
 
 }   // namespace myrtleroute::proxy
--- a/src/roles/proxy/subscription.cpp
+++ b/src/roles/proxy/subscription.cpp
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "base/bounds.hpp"
 #include "roles/log.hpp"
 
 namespace myrtleroute::proxy {
@@ -28,7 +29,8 @@
     : context_(context),
       events_(std::move(events)),
       subscriber_(
-          {context.settings.node_name, context.settings.reached_at(), context.settings.zone, context.chance.next()}) {
+          {context.settings.node_name, context.settings.reached_at(), context.settings.zone, context.chance.next()}),
+      forgotten_nodes_(bound_counter(context.metrics, "control_nodes")) {
     add_seeds();
 }
 
@@ -50,6 +52,7 @@
     if (stopped_) return;
     subscriber_.tick(context_.now());
     carry_out();
+    forgotten_nodes_.add(static_cast<double>(subscriber_.forgotten()) - forgotten_nodes_.value());
 }
 
 void Subscription::carry_out() {
--- a/src/roles/proxy/subscription.hpp
+++ b/src/roles/proxy/subscription.hpp
@@ -41,6 +41,7 @@
     Context& context_;
     Events events_;
     Subscriber subscriber_;
+    metrics::Counter forgotten_nodes_;
     Link* link_ = nullptr;
     bool stopped_ = false;
 };
--- a/tests/system/configuration_fanout_test.cpp
+++ b/tests/system/configuration_fanout_test.cpp
@@ -1,73 +1,152 @@
 // Copies of the configuration to subscribers: what they take of a machine's link, and that the newest comes to everybody.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "roles/control/configuration_fanout.hpp"
 
 using namespace myrtleroute;
 using control::ConfigurationFanout;
+using control::LinkNumber;
 
 namespace {
 
 constexpr double small_link = 10;   // Mbit/s
-constexpr Span tick{0.1}, storm_gap{0.08};
-constexpr size_t body_bytes = 27000;
+constexpr Span tick{0.1}, storm_gap{0.06};
 
-}   // namespace
+// A machine's link as a queue: whatever is sent waits behind what was sent before it.
+struct Link {
+    double megabits;
+    Time empty_at = long_ago;
 
-TEST_CASE("in a storm of changes copies take a part of the link only, and everybody has the newest soon after it") {
-    ConfigurationFanout fanout(small_link);
-    constexpr uint64_t subscribers = 12;
-    for (uint64_t link = 1; link <= subscribers; ++link) fanout.subscribed(link, 0);
-    double bytes = 0;
-    std::map<uint64_t, uint64_t> held;
+    void send(double bytes, Time now) { empty_at = std::max(empty_at, now) + Span{bytes * 8 / 1e6 / megabits}; }
+    Span wait(Time now) const { return std::max(Span{}, empty_at - now); }
+};
+
+// A node with subscribers whose configuration changes again and again.
+struct Storm {
+    ConfigurationFanout fanout{small_link};
+    Link link{small_link};
+    std::string body;
+    std::map<LinkNumber, uint64_t> held;
     uint64_t version = 0;
-    const Time start{100};
-    Time next_change = start;
-    const Span storm{20};
-    for (Time now = start; now < start + storm; now = now + Span{0.01}) {
-        if (now >= next_change) {
-            fanout.committed(++version, std::string(body_bytes, 'x'));
-            next_change = next_change + storm_gap;
+    double bytes = 0;
+    Span longest_wait;         // of an answer that is sent at any moment
+    size_t most_at_once = 0;   // copies
+    Time now{100};
+
+    Storm(size_t subscribers, size_t body_bytes) : body(body_bytes, 'x') {
+        for (LinkNumber number = 1; number <= subscribers; ++number) {
+            fanout.subscribed(number, 0);
+            held[number] = 0;
+        }
+    }
+    void send_due() {
+        const auto due = fanout.take_due(now);
+        most_at_once = std::max(most_at_once, due.size());
+        for (const auto number : due) {
+            CHECK(held[number] < fanout.version());
+            held[number] = fanout.version();
+            bytes += static_cast<double>(body.size());
+            link.send(static_cast<double>(body.size()), now);
         }
-        for (const auto link : fanout.take_due(now)) {
-            CHECK(held[link] < fanout.version());
-            held[link] = fanout.version();
-            bytes += static_cast<double>(fanout.body().size());
+        longest_wait = std::max(longest_wait, link.wait(now));
+    }
+    void change() { fanout.committed(++version, body, now); }
+    // Changes come for so long; then time passes without any.
+    void play(Span changes, Span after) {
+        const Time end = now + changes + after, last_change = now + changes;
+        Time next_change = now, next_tick = now;
+        for (; now < end; now = now + Span{0.01}) {
+            if (now >= next_change && now < last_change) {
+                change();
+                next_change = next_change + storm_gap;
+                send_due();   // as a node does when an entry is committed
+            }
+            if (now < next_tick) continue;
+            next_tick = next_tick + tick;
+            send_due();
         }
     }
-    CHECK(bytes * 8 / 1e6 / storm.s < 0.45 * small_link);
-    for (Time now = start + storm; now < start + storm + Span{1}; now = now + tick)
-        for (const auto link : fanout.take_due(now)) held[link] = fanout.version();
-    for (uint64_t link = 1; link <= subscribers; ++link) CHECK(held[link] == version);
+    bool all_have_the_newest() const {
+        return std::all_of(held.begin(), held.end(), [this](const auto& known) { return known.second == version; });
+    }
+};
+
+}   // namespace
+
+TEST_CASE("in a storm of changes copies take a part of the link only, and everybody has the newest soon after it") {
+    Storm storm(12, 27000);
+    storm.play(Span{20}, Span{});
+    CHECK(storm.bytes * 8 / 1e6 / 20 < 0.65 * small_link);
+    storm.play(Span{}, Span{1});
+    CHECK(storm.all_have_the_newest());
+}
+
+TEST_CASE("an answer on a small link waits behind a few copies at the most, however many subscribers there are") {
+    constexpr double lost_after = 0.2;   // seconds: what a client waits for an answer before it counts as lost
+    for (const size_t subscribers : {1, 15, 40, 300})
+        for (const size_t body_bytes : {5000, 40000, 80000}) {
+            CAPTURE(subscribers);
+            CAPTURE(body_bytes);
+            Storm storm(subscribers, body_bytes);
+            storm.play(Span{20}, Span{});
+            CHECK(storm.longest_wait.s < lost_after / 1.5);
+            CHECK(storm.bytes * 8 / 1e6 / 20 < 0.65 * small_link);
+            storm.play(Span{}, Span{1 + static_cast<double>(subscribers * body_bytes) * 8 / 1e6 / (0.55 * small_link)});
+            CHECK(storm.all_have_the_newest());
+        }
 }
 
-TEST_CASE("a change after a quiet time is sent at once, and no pause is longer than a change may take to be in force") {
+TEST_CASE("copies leave one by one on a slow link, and who has waited longest is next") {
     ConfigurationFanout fanout(small_link);
-    for (uint64_t link = 1; link <= 300; ++link) fanout.subscribed(link, 0);
-    fanout.committed(1, std::string(body_bytes, 'x'));
-    CHECK(fanout.take_due(Time{100}).size() == 300);
-    fanout.committed(2, std::string(body_bytes, 'y'));
-    CHECK(fanout.take_due(Time{100.5}).empty());
-    CHECK(fanout.take_due(Time{101}).size() == 300);
-    fanout.committed(3, "z");
-    CHECK(fanout.take_due(Time{110}).size() == 300);
+    constexpr LinkNumber subscribers = 6;
+    for (LinkNumber link = 1; link <= subscribers; ++link) fanout.subscribed(link, 0);
+    const std::string body(40000, 'x');
+    fanout.committed(1, body, Time{100});
+    CHECK(fanout.take_due(Time{100}).size() == 1);
+    std::vector<LinkNumber> order;
+    uint64_t version = 1;
+    for (Time now{100.05}; now < Time{101.5}; now = now + Span{0.05}) {
+        fanout.committed(++version, body, now);   // nobody ever has the newest
+        for (const auto link : fanout.take_due(now)) order.push_back(link);
+    }
+    REQUIRE(order.size() >= 2 * subscribers);
+    // Each has its turn before anybody has a second one.
+    for (size_t at = 0; at + subscribers <= order.size(); ++at) {
+        std::vector<LinkNumber> turn(order.begin() + static_cast<std::ptrdiff_t>(at),
+                                     order.begin() + static_cast<std::ptrdiff_t>(at + subscribers));
+        std::sort(turn.begin(), turn.end());
+        CHECK(std::adjacent_find(turn.begin(), turn.end()) == turn.end());
+    }
+}
+
+TEST_CASE("a change after a quiet time leaves at once, and where nothing is known of the link all copies do") {
+    ConfigurationFanout slow(small_link);
+    ConfigurationFanout unknown(0);
+    for (LinkNumber link = 1; link <= 300; ++link) {
+        slow.subscribed(link, 0);
+        unknown.subscribed(link, 0);
+    }
+    for (auto* fanout : {&slow, &unknown}) fanout->committed(1, std::string(27000, 'x'), Time{100});
+    CHECK_FALSE(slow.take_due(Time{100}).empty());
+    CHECK(unknown.take_due(Time{100}).size() == 300);
 }
 
 TEST_CASE("whoever subscribes is sent the newest once, and an older one is never sent") {
     ConfigurationFanout fanout(small_link);
-    CHECK(fanout.committed(5, "five"));
-    CHECK_FALSE(fanout.committed(5, "other"));
-    CHECK_FALSE(fanout.committed(4, "four"));
+    CHECK(fanout.committed(5, "five", Time{100}));
+    CHECK_FALSE(fanout.committed(5, "other", Time{100}));
+    CHECK_FALSE(fanout.committed(4, "four", Time{100}));
     fanout.subscribed(1, 5);
-    CHECK_FALSE(fanout.take(1));
+    CHECK(fanout.take_due(Time{101}).empty());
     fanout.subscribed(2, 3);
-    CHECK(fanout.take(2));
-    CHECK_FALSE(fanout.take(2));
-    CHECK(fanout.take_due(Time{100}).empty());
+    CHECK(fanout.take_due(Time{102}) == std::vector<LinkNumber>{2});
+    CHECK(fanout.take_due(Time{103}).empty());
     fanout.left(2);
-    fanout.committed(6, "six");
-    CHECK(fanout.take_due(Time{100}) == std::vector<control::LinkNumber>{1});
+    fanout.committed(6, "six", Time{104});
+    CHECK(fanout.take_due(Time{104}) == std::vector<LinkNumber>{1});
 }
--- a/tests/system/messages_test.cpp
+++ b/tests/system/messages_test.cpp
@@ -33,12 +33,14 @@
             HostsTold{{host}, 4, true},
             HostsConfirmed{4},
             HostsHeard{{{"i-1", 13}}},
-            ProxiesTold{{"edge-1", "edge-2"}},
-            Subscribe{"edge-1", 8},
+            ProxiesTold{std::vector<std::string>{"edge-1", "edge-2"}, 2, true, 100},
+            ProxiesTold{std::nullopt, 2, false, 0.5},
+            Subscribe{"edge-1", 8, "north"},
             leases::LeaseAsk{{"edge-1", 77}, 5, 4, 3, 1.25, {{"t", {50, 40, 3, 2, 1, 7, 0.5}}}},
             leases::LeaseReply{{"edge-1", 77}, 5, 3, true, {{"t", {500, 400, 30, 20, 10, 1.25}}}},
             ConfigurationTold{9, "{}"},
-            FleetTold{true, 2, 12, {node}}};
+            FleetTold{true, false, 2, 12, {node}, std::nullopt},
+            FleetTold{false, true, 2, 12, {}, node}};
 }
 
 }   // namespace
--- a/tests/system/subscriber_test.cpp
+++ b/tests/system/subscriber_test.cpp
@@ -1,32 +1,301 @@
-// Where proxies subscribe.
+// Where proxies subscribe: one that chooses, moves and stays; and many that are spread over control nodes.
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "random.hpp"
+#include "roles/control/proxy_directory.hpp"
 #include "roles/proxy/subscriber.hpp"
 
 using namespace myrtleroute;
 using namespace myrtleroute::proxy;
 
-TEST_CASE("while no other control node is better off, one that is out of touch is not left") {
-    Subscriber subscriber({"edge-1", "10.9.9.9", "north", 7});
-    std::vector<messages::ControlNode> seeds;
-    for (int number = 1; number <= 3; ++number) {
-        const std::string address = "10.0.0." + std::to_string(number);
-        seeds.push_back({{address, 7500}, {address, 8367}, ""});
-    }
-    subscriber.add_seeds(seeds);
-    size_t opened = 0;
-    for (Time now{100}; now < Time{120}; now = now + Span{0.2}) {
+namespace {
+
+messages::ControlNode node(int number, const std::string& zone = "north") {
+    const auto address = "10.0." + std::to_string(number / 250) + "." + std::to_string(1 + number % 250);
+    return {{address, 7500}, {address, 8367}, zone};
+}
+
+messages::FleetTold fleet(bool current, bool elsewhere = false) {
+    messages::FleetTold told;
+    told.current = current;
+    told.current_elsewhere = elsewhere;
+    return told;
+}
+
+// A subscriber whose connections come up at once.
+struct World {
+    Subscriber subscriber{{"edge-1", "10.9.9.9", "north", 7}};
+    Time now{100};
+    std::vector<Endpoint> opened;
+    size_t closed = 0;
+
+    explicit World(const std::vector<messages::ControlNode>& seeds) {
+        subscriber.add_seeds(seeds);
+        step(Span{});
+    }
+    void carry_out() {
+        for (auto outputs = subscriber.take_outputs(); !outputs.empty(); outputs = subscriber.take_outputs())
+            for (const auto& output : outputs) {
+                closed += std::holds_alternative<CloseLink>(output);
+                if (const auto* open = std::get_if<OpenLink>(&output)) {
+                    opened.push_back(open->to);
+                    subscriber.opened(0, now);
+                }
+            }
+    }
+    void step(Span span) {
+        now = now + span;
         subscriber.tick(now);
-        for (const auto& output : subscriber.take_outputs()) {
-            if (!std::holds_alternative<OpenLink>(output)) continue;
-            ++opened;
-            subscriber.opened(0, now);
+        carry_out();
+    }
+    void hear(const messages::FleetTold& told) {
+        subscriber.received(told, now);
+        carry_out();
+    }
+    // Several times a second, for so long.
+    void hear_for(const messages::FleetTold& told, Span span) {
+        for (const Time end = now + span; now < end;) {
+            hear(told);
+            step(Span{0.2});
+        }
+    }
+};
+
+}   // namespace
+
+TEST_CASE("while no other control node is better off, one that is out of touch is not left") {
+    World world({node(1), node(2), node(3)});
+    REQUIRE(world.opened.size() == 1);
+    world.hear_for(fleet(true), Span{1});
+    world.hear_for(fleet(false), Span{20});
+    CHECK(world.opened.size() == 1);
+    CHECK(world.closed == 0);
+}
+
+TEST_CASE("a control node that is out of touch is left for another one that may be current, more slowly each time") {
+    World world({node(1), node(2), node(3)});
+    world.hear_for(fleet(true), Span{1});
+    world.hear_for(fleet(false, true), Span{1});
+    CHECK(world.opened.size() == 2);
+    world.hear_for(fleet(false, true), Span{20});
+    CHECK(world.opened.size() >= 6);    // it looks further
+    CHECK(world.opened.size() <= 14);   // and does not run from one to the other
+    const auto before = world.opened.size();
+    world.hear_for(fleet(true), Span{2});
+    CHECK(world.opened.size() == before);
+    world.hear_for(fleet(false, true), Span{1});
+    CHECK(world.opened.size() == before + 1);   // as soon as the first time
+}
+
+TEST_CASE("a proxy moves where its control node says, and stays where it is if that one has just failed") {
+    World world({node(1)});
+    world.hear(fleet(true));
+    auto told = fleet(true);
+    told.move_to = node(2);
+    world.hear(told);
+    CHECK(world.closed == 1);
+    CHECK(world.subscriber.at() == node(2).peer);
+    CHECK(world.subscriber.is_open());
+    world.subscriber.failed(world.now);   // the new one breaks
+    world.step(Span{0.2});
+    CHECK(world.subscriber.at() == node(1).peer);   // the one that was left has not failed
+    world.hear(told);
+    CHECK(world.subscriber.at() == node(1).peer);
+    world.hear_for(fleet(true), Span{3});
+    world.hear(told);
+    CHECK(world.subscriber.at() == node(2).peer);
+}
+
+TEST_CASE("of control nodes a bounded number is kept: those named last, and the one that is connected to") {
+    World world({node(0)});
+    auto told = fleet(true);
+    for (int number = 1; number <= 300; ++number) {
+        told.controls = {node(number)};
+        world.hear(told);
+    }
+    CHECK(world.subscriber.nodes() == Subscriber::most_nodes);
+    CHECK(world.subscriber.forgotten() == 301 - Subscriber::most_nodes);
+    CHECK(world.opened.size() == 1);
+    std::set<Endpoint> tried;   // none answers any more
+    for (int i = 0; i < 400; ++i) {
+        world.subscriber.failed(world.now);
+        world.step(Span{0.2});
+        tried.insert(world.subscriber.at());
+    }
+    CHECK(tried.size() == Subscriber::most_nodes);
+    CHECK(tried.count(node(300).peer) == 1);
+    CHECK(tried.count(node(1).peer) == 0);
+    // Settings that name ever new seeds fill no more than that either.
+    for (int number = 301; number <= 600; ++number) world.subscriber.add_seeds({node(number)});
+    CHECK(world.subscriber.nodes() == Subscriber::most_nodes);
+}
+
+// Many proxies at control nodes.
+
+namespace {
+
+using control::LinkNumber;
+using control::Move;
+using control::NodeLoad;
+
+struct Spread {
+    struct Node {
+        NodeLoad load;
+        std::map<LinkNumber, std::string> subscribers;   // with their zones
+    };
+    std::vector<Node> nodes;
+    size_t moves = 0;
+
+    void add_node(const std::string& zone, double weight) {
+        Node fresh;
+        fresh.load.node = node(static_cast<int>(nodes.size()) + 1, zone);
+        fresh.load.weight = weight;
+        nodes.push_back(fresh);
+    }
+    // All of them plan with what they knew a second ago, at the same moment.
+    void second(Span age = Span{10}) {
+        for (auto& each : nodes) each.load.subscribers = each.subscribers.size();
+        std::vector<std::pair<size_t, Move>> planned;
+        for (size_t i = 0; i < nodes.size(); ++i) {
+            std::vector<NodeLoad> others;
+            for (size_t j = 0; j < nodes.size(); ++j)
+                if (j != i) others.push_back(nodes[j].load);
+            std::vector<control::PlacedSubscriber> subscribers;
+            for (const auto& [link, zone] : nodes[i].subscribers) subscribers.push_back({link, zone, age});
+            for (const auto& move : control::plan_moves(nodes[i].load, others, subscribers))
+                planned.push_back({i, move});
+        }
+        for (const auto& [from, move] : planned) {
+            auto subscriber = nodes[from].subscribers.extract(move.link);
+            REQUIRE_FALSE(subscriber.empty());
+            for (auto& to : nodes)
+                if (to.load.node == move.to) to.subscribers.insert(std::move(subscriber));
+            ++moves;
+        }
+    }
+    size_t strangers() const {   // proxies at a node of another zone
+        size_t count = 0;
+        for (const auto& each : nodes)
+            for (const auto& [link, zone] : each.subscribers) count += zone != each.load.node.zone;
+        return count;
+    }
+};
+
+std::string zone_of(size_t number) { return "zone-" + std::to_string(number); }
+
+}   // namespace
+
+TEST_CASE("proxies that have all come to one control node are spread within seconds, and then stay") {
+    Spread spread;
+    constexpr size_t zones = 7, proxies = 300;
+    for (size_t i = 0; i < zones; ++i) spread.add_node(zone_of(i), 100);
+    for (LinkNumber link = 1; link <= proxies; ++link) spread.nodes[0].subscribers[link] = zone_of(link % zones);
+    for (int s = 0; s < 12; ++s) spread.second();
+    for (const auto& each : spread.nodes) CHECK(each.subscribers.size() <= 56);
+    for (int s = 0; s < 90; ++s) spread.second();
+    for (const auto& each : spread.nodes) {
+        CHECK(each.subscribers.size() >= 38);
+        CHECK(each.subscribers.size() <= 56);
+    }
+    CHECK(spread.strangers() == 0);
+    CHECK(spread.moves <= 2 * proxies);
+    const auto before = spread.moves;
+    for (int s = 0; s < 60; ++s) spread.second();
+    CHECK(spread.moves == before);
+}
+
+TEST_CASE("a node bears subscribers in proportion to its link, and a zone without a node goes to the others") {
+    Spread spread;
+    for (size_t i = 0; i < 5; ++i) spread.add_node(zone_of(i), 100);
+    for (size_t i = 3; i < 5; ++i) spread.add_node(zone_of(i), 10);   // the small machines of two zones
+    Pcg chance(3);
+    for (LinkNumber link = 1; link <= 68; ++link)
+        spread.nodes[static_cast<size_t>(chance.share() * 7)].subscribers[link] = zone_of(link % 6);
+    for (int s = 0; s < 60; ++s) spread.second();
+    for (size_t i = 0; i < 5; ++i) CHECK(spread.nodes[i].subscribers.size() <= 18);
+    for (size_t i = 5; i < 7; ++i) CHECK(spread.nodes[i].subscribers.size() <= 3);
+    const auto before = spread.moves;
+    for (int s = 0; s < 60; ++s) spread.second();
+    CHECK(spread.moves == before);
+}
+
+TEST_CASE("nothing moves for its zone before its subscription has settled, nor where there is no other node") {
+    Spread spread;
+    spread.add_node(zone_of(0), 100);
+    for (LinkNumber link = 1; link <= 10; ++link) spread.nodes[0].subscribers[link] = zone_of(1);
+    for (int s = 0; s < 10; ++s) spread.second();
+    CHECK(spread.moves == 0);
+    spread.add_node(zone_of(1), 100);
+    for (LinkNumber link = 11; link <= 18; ++link) spread.nodes[1].subscribers[link] = zone_of(0);
+    for (int s = 0; s < 10; ++s) spread.second(Span{1});
+    CHECK(spread.moves == 0);
+    for (int s = 0; s < 30; ++s) spread.second();
+    CHECK(spread.moves > 0);
+}
+
+TEST_CASE("whatever the sizes and the start, nodes end within their shares, and moves end") {
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        Pcg chance(seed);
+        Spread spread;
+        const auto below = [&](size_t most) {
+            return static_cast<size_t>(chance.share() * static_cast<double>(most));
+        };
+        const size_t zones = 1 + below(8), nodes = 1 + below(12), proxies = 1 + below(400);
+        for (size_t i = 0; i < nodes; ++i) spread.add_node(zone_of(i % zones), chance.share() < 0.3 ? 10 : 100);
+        for (LinkNumber link = 1; link <= proxies; ++link)
+            spread.nodes[below(nodes)].subscribers[link] = zone_of(below(zones));
+        for (int s = 0; s < 150; ++s) spread.second();
+        double weights = 0;
+        size_t kept = 0;
+        for (const auto& each : spread.nodes) {
+            weights += each.load.weight;
+            kept += each.subscribers.size();
         }
-        subscriber.received(messages::FleetTold{}, now);
-        subscriber.take_outputs();
+        CHECK(kept == proxies);
+        for (const auto& each : spread.nodes) {
+            const double share = static_cast<double>(proxies) * each.load.weight / weights;
+            CHECK(static_cast<double>(each.subscribers.size()) <= share * 1.25 + 2);
+        }
+        const auto before = spread.moves;
+        for (int s = 0; s < 60; ++s) spread.second();
+        CHECK(spread.moves - before <= 60 * nodes);
     }
-    CHECK(opened == 1);
+}
+
+TEST_CASE("a proxy that moves from one control node to another is one proxy all the while") {
+    control::ProxyDirectory directory;
+    const Endpoint other{"10.0.0.2", 7500};
+    Time now{100};
+    messages::ProxiesTold told;
+    told.current = true;
+    told.weight = 100;
+    told.proxies = {"edge-9"};
+    directory.told(other, told, now);
+    for (LinkNumber link = 1; link <= 8; ++link)
+        directory.subscribed(link, {"edge-" + std::to_string(link), 0, "south"}, now);
+    CHECK(directory.names().size() == 9);
+    now = now + Span{5};
+    told.subscribers = 1;
+    directory.told(other, told, now);
+    const auto moves =
+        directory.plan_moves({node(1, "north"), 100, 0}, {{other, {other, {"10.0.0.2", 8367}, "south"}}}, now);
+    REQUIRE_FALSE(moves.empty());
+    directory.left(moves[0].link, now + Span{0.01});
+    CHECK(directory.names().size() == 9);   // it is on its way
+    CHECK_FALSE(directory.is_subscriber(moves[0].link));
+    told.proxies->push_back("edge-" + std::to_string(moves[0].link));
+    directory.told(other, told, now + Span{0.3});
+    directory.tick(now + Span{2});
+    CHECK(directory.names().size() == 9);
+    CHECK(directory.own_names().size() == 7);
+    // One that just goes is gone.
+    const auto still = directory.subscribers();
+    directory.left(still.back(), now + Span{2});
+    CHECK(directory.own_names().size() == 6);
 }
