--- a/src/lab/control/plan.cpp
+++ b/src/lab/control/plan.cpp
@@ -9,13 +9,14 @@
 namespace myrtleroute::lab::control {
 namespace {
 
-constexpr uint64_t plan_stream = 0x504c414e, surge_stream = 0x53555247;
+constexpr uint64_t plan_stream = 0x504c414e, surge_stream = 0x53555247, closing_stream = 0x434c4f53;
 constexpr const char* names[] = {
     "kill",         "power_loss",       "kill_all",          "power_loss_all", "freeze",
     "cut",          "cut_control",      "cut_site",          "cut_inward",     "cut_outward",
     "disk_hang",    "disk_full",        "disk_slow",         "stop",           "wipe",
     "rot",          "replace",          "replace_planned",   "proxy_restart",  "proxy_cut",
-    "proxy_freeze", "proxy_cut_inward", "proxy_cut_outward", "proxy_herd",     "answers_lost"};
+    "proxy_freeze", "proxy_cut_inward", "proxy_cut_outward", "proxy_herd",     "answers_lost",
+    "closing"};
 static_assert(std::size(names) == static_cast<size_t>(FaultKind::kinds));
 
 double draw_span(FaultKind kind, Chance& chance) {
@@ -41,7 +42,7 @@
 
 Fault draw_fault(double length, Chance& chance) {
     Fault fault;
-    fault.kind = static_cast<FaultKind>(chance.below(static_cast<int>(FaultKind::kinds)));
+    fault.kind = static_cast<FaultKind>(chance.below(static_cast<int>(FaultKind::closing)));
     fault.target = static_cast<Target>(chance.below(3));
     fault.at = chance.between(4, length);
     fault.span = draw_span(fault.kind, chance);
@@ -62,6 +63,19 @@
     return surges;
 }
 
+std::optional<Closing> draw_closing(uint64_t seed) {
+    constexpr double closes = 0.5, just_after = 0.6;
+    Chance chance(seed, closing_stream);
+    if (!chance.yes(closes)) return {};
+    Closing closing;
+    closing.oldest_disks = chance.yes(0.4);
+    closing.acknowledger = chance.yes(0.5);
+    closing.delay = chance.yes(just_after) ? chance.between(0, 0.005) : chance.between(0.005, 0.4);
+    closing.down = chance.between(0.1, 2);
+    closing.lot = static_cast<uint32_t>(chance.number());
+    return closing;
+}
+
 }   // namespace
 
 const char* name_of(FaultKind kind) { return names[static_cast<size_t>(kind)]; }
@@ -89,6 +103,7 @@
     std::sort(plan.faults.begin(), plan.faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
     plan.surges = draw_surges(seed, plan.length);
     plan.limits_change = seed % 2 == 0;
+    if (plan.orderly) plan.closing = draw_closing(seed);
     return plan;
 }
 
@@ -106,6 +121,11 @@
         text << "  " << surge.at << " s  tenant " << surge.tenant << " asks for " << surge.factor
              << " times its usual for " << surge.span << " s\n";
     if (!plan.limits_change) text << "  limits of tenants stay\n";
+    if (plan.closing)
+        text << "  at the end disks are lost, " << (plan.closing->oldest_disks ? "the oldest" : "by lot")
+             << (plan.closing->acknowledger ? ", that of the last acknowledgement first" : "")
+             << ", and all others lose power, " << plan.closing->delay << " s after an acknowledgement, for "
+             << plan.closing->down << " s\n";
     return text.str();
 }
 
--- a/src/lab/control/plan.hpp
+++ b/src/lab/control/plan.hpp
@@ -1,6 +1,7 @@
 // The plan of a day of the control plane: how many machines there are and which faults come when. Drawn from one seed.
 #pragma once
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
     proxy_cut_outward,   // no control machine hears a proxy
     proxy_herd,          // half of the proxies are killed at once
     answers_lost,        // most of what the operators are answered
+    closing,             // the last fault of a day: disks are lost, and every other machine loses power
     kinds
 };
 const char* name_of(FaultKind kind);
@@ -53,6 +55,16 @@
     bool after_acknowledgement = false;   // waits until an order has just been acknowledged, and strikes who did
 };
 
+// The last fault of a day: as many disks are lost as is borne, and at that moment all other machines lose power, those of
+// the proxies too. Right after an acknowledgement, or some time after an order was sent.
+struct Closing {
+    bool oldest_disks = false;   // those whose disks have lasted longest, else by lot
+    bool acknowledger = false;   // the machine that has acknowledged last is among them
+    double delay = 0;            // seconds from the acknowledgement
+    double down = 0.5;           // seconds without power
+    uint32_t lot = 0;
+};
+
 constexpr size_t tenant_count = 3;
 
 // A tenant asks for several times its usual.
@@ -71,6 +83,7 @@
     std::vector<Fault> faults;
     std::vector<Surge> surges;
     bool limits_change = true;   // of tenants, from version to version
+    std::optional<Closing> closing;
 };
 
 Plan draw_plan(uint64_t seed);
--- a/src/lab/control/world.cpp
+++ b/src/lab/control/world.cpp
@@ -20,6 +20,8 @@
 constexpr Span wait_turn{0.5}, watch_every{0.5}, watch_contact_every{0.25};
 constexpr Span settle{12}, answer_settle{4};   // after the last fault: until all agree, and then until the last answers
 constexpr double slow_disk = 30;
+constexpr Span closing_within{2};    // without an acknowledgement the day is closed then all the same
+constexpr Span longest_closing{6};   // from the end of the plan until all are back
 
 }   // namespace
 
@@ -145,8 +147,8 @@
         traffic_->begin();
     });
     for (const auto& fault : plan_.faults) queue_.at(dawn + Span{fault.at}, [this, fault] { strike(fault, false); });
-    queue_.at(dawn + Span{plan_.length}, [this] { end_of_day(); });
-    const Time end = dawn + Span{plan_.length} + settle + answer_settle;
+    queue_.at(dawn + Span{plan_.length}, [this] { plan_.closing ? await_closing() : end_of_day(); });
+    const Time end = dawn + Span{plan_.length} + longest_closing + settle + answer_settle;
     while (!checker_.ends_the_day() && queue_.step(end)) {
     }
     if (!checker_.ends_the_day()) {
@@ -294,6 +296,7 @@
         case FaultKind::proxy_cut_outward: return cut(fault, proxy.process(), false, false, true);
         case FaultKind::proxy_herd: return kill_herd(fault);
         case FaultKind::answers_lost: answers_lost_until_ = until; return;
+        case FaultKind::closing:
         case FaultKind::kinds: return;
     }
 }
@@ -422,6 +425,7 @@
 }
 
 void World::acknowledged(Machine& by) {
+    if (std::exchange(closing_waits_, false)) queue_.in({plan_.closing->delay}, [this, &by] { strike_closing(&by); });
     for (const auto& fault : std::exchange(waiting_for_acknowledgement_, {}))
         queue_.in({chance_.between(0, 0.005)}, [this, fault, &by] {
             auto struck = fault;
@@ -498,6 +502,50 @@
     }
 }
 
+void World::await_closing() {
+    closing_waits_ = true;
+    queue_.in(closing_within, [this] {
+        if (std::exchange(closing_waits_, false)) strike_closing(nullptr);
+    });
+}
+
+// The machines in the order in which their disks are lost.
+std::vector<Machine*> World::closing_order(Machine* acknowledger) {
+    auto machines = listed();
+    std::rotate(machines.begin(), machines.begin() + static_cast<std::ptrdiff_t>(plan_.closing->lot % machines.size()),
+                machines.end());
+    if (plan_.closing->oldest_disks)
+        std::stable_sort(machines.begin(), machines.end(),
+                         [](const auto* a, const auto* b) { return a->disk_since < b->disk_since; });
+    if (plan_.closing->acknowledger)
+        std::stable_partition(machines.begin(), machines.end(), [&](const auto* each) { return each == acknowledger; });
+    return machines;
+}
+
+// One that is lost already counts among the losses that are borne, whether its disk is lost now or not.
+void World::strike_closing(Machine* acknowledger) {
+    note("the day is closed");
+    const Span down{plan_.closing->down};
+    note_fault(FaultKind::closing, queue_.now() + down);
+    size_t borne = plan_.tolerated - std::min(plan_.tolerated, lost());
+    std::vector<Machine*> others;
+    for (auto* machine : closing_order(acknowledger)) {
+        if (borne > 0 && !is_lost(*machine)) {
+            --borne;
+            note("the disk of " + machine->settings().node_name + " is lost");
+            lose_disk(*machine, down + Span{chance_.between(0, 0.5)}, false);
+        } else {
+            others.push_back(machine);
+        }
+    }
+    for (auto* machine : others) down_for(*machine, Machine::End::without_power, down + Span{chance_.between(0, 0.5)});
+    for (const auto& proxy : proxies_) {
+        proxy->end();
+        restart_after(*proxy, down + Span{chance_.between(0, 0.5)});
+    }
+    queue_.in(down + Span{1}, [this] { end_of_day(); });
+}
+
 void World::end_of_day() {
     over_ = true;
     network_->heal();
@@ -582,6 +630,10 @@
         plans.push_back(plan);
         plans.back().limits_change = false;
     }
+    if (plan.closing) {
+        plans.push_back(plan);
+        plans.back().closing.reset();
+    }
     return plans;
 }
 
--- a/src/lab/control/world.hpp
+++ b/src/lab/control/world.hpp
@@ -68,6 +68,9 @@
     void acknowledged(Machine& by);   // faults that wait for this strike
     void check_drains();
     void watch_drains();
+    void await_closing();
+    void strike_closing(Machine* acknowledger);
+    std::vector<Machine*> closing_order(Machine* acknowledger);
     void end_of_day();
     bool agrees() const;
     std::string disagreement() const;
@@ -96,6 +99,7 @@
     std::vector<Active> active_;
     std::map<ProcessId, Time> cut_until_;   // control machines that are cut off
     Time answers_lost_until_ = long_ago, disturbed_until_ = long_ago;
+    bool closing_waits_ = false;   // for the next acknowledgement
     bool over_ = false;
 };
 
--- a/src/roles/main.cpp
+++ b/src/roles/main.cpp
@@ -110,10 +110,13 @@
                                            command);
         command.add(role);
         command.add(file);
+        command.setExceptionHandling(false);   // a fault of the command line has an exit status of its own
         command.parse(argc, argv);
         start_log(argc, argv, level.getValue());
         if (role.getValue() == "check") return check(file.getValue());
         return run_role(role.getValue(), settings.getValue());
+    } catch (const TCLAP::ExitException& asked) {   // --help and --version
+        return asked.getExitStatus();
     } catch (const TCLAP::ArgException& fault) {
         std::cerr << fault.argId() << ": " << fault.error() << '\n';
         return exit_fault;
