--- a/src/leases/refusal_cause.hpp
+++ b/src/leases/refusal_cause.hpp
@@ -14,8 +14,8 @@
 };
 
 // All causes, in the order of their values.
-inline constexpr std::array refusal_causes{RefusalCause::over_limit, RefusalCause::not_lent,
-                                           RefusalCause::out_of_touch, RefusalCause::no_room};
+inline constexpr std::array refusal_causes{RefusalCause::over_limit, RefusalCause::not_lent, RefusalCause::out_of_touch,
+                                           RefusalCause::no_room};
 
 // The cause's name in figures and in the log.
 constexpr std::string_view to_string(RefusalCause cause) {
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 
 #include "rig/process.hpp"
 
@@ -18,16 +19,35 @@
 constexpr double hears_after = 0.1;     // from its start: the program it is to run has begun, and acts on signals
 constexpr size_t seeds = 3;
 constexpr size_t machine_group = 0, advertised_group = 1, host_group = 2;
+constexpr uint16_t lock_port = 7499;
+constexpr int first_block = 20, block_count = 200;
 
 std::string role_name(Role role) { return role == Role::control ? "control" : "proxy"; }
 
 }   // namespace
 
+AddressBlock::AddressBlock(asio::io_context& context) : lock_(context) {
+    using asio::ip::tcp;
+    for (int i = 0; i < block_count; ++i) {
+        number_ = first_block + (static_cast<int>(::getpid()) + i) % block_count;
+        const tcp::endpoint at(asio::ip::make_address("127." + std::to_string(number_) + ".255.254"), lock_port);
+        asio::error_code error;
+        lock_.open(at.protocol());
+        lock_.bind(at, error);
+        if (!error) lock_.listen(1, error);
+        if (!error) return;
+        lock_.close();
+    }
+    throw std::runtime_error("no block of loopback addresses is free");
+}
+
 std::string Addresses::at(size_t group, size_t number) const {
     return "127." + std::to_string(block_) + "." + std::to_string(group) + "." + std::to_string(number + 1);
 }
 std::string Addresses::machine(size_t number) const { return at(machine_group, number); }
-std::string Addresses::advertised(size_t number) const { return at(advertised_group, number); }
+std::string Addresses::advertised(size_t number) const {
+    return at(relayed_ ? advertised_group : machine_group, number);
+}
 std::string Addresses::host(size_t number) const { return at(host_group, number); }
 Endpoint Addresses::control(size_t machine) const { return {advertised(machine), control_port}; }
 Endpoint Addresses::metrics(Role role, size_t machine) const {
--- a/src/soak/fleet.hpp
+++ b/src/soak/fleet.hpp
@@ -1,6 +1,7 @@
 // The processes of the fleet under test: their settings files, starts, pauses and ends. Each process is ended by its id,
 // and with the soak itself, however that ends.
 #pragma once
+#include <asio.hpp>
 #include <sys/types.h>
 
 #include <functional>
@@ -15,10 +16,24 @@
 
 enum class Role { control, proxy };
 
+// A block of loopback addresses that no other run has; held as long as this lives.
+class AddressBlock {
+public:
+    // Throws std::runtime_error where none is free.
+    explicit AddressBlock(asio::io_context& context);
+    int number() const { return number_; }
+
+private:
+    asio::ip::tcp::acceptor lock_;
+    int number_ = 0;
+};
+
 // Addresses of a run: everything under 127.BLOCK is its own, so that several runs fit on one machine.
 class Addresses {
 public:
-    Addresses(int block, size_t controls) : block_(block), controls_(controls) {}
+    // `relayed`: control nodes are reached by way of relays, else where they listen.
+    Addresses(int block, size_t controls, bool relayed = true)
+        : block_(block), controls_(controls), relayed_(relayed) {}
     std::string machine(size_t number) const;      // where its processes listen
     std::string advertised(size_t number) const;   // where its relays listen
     std::string host(size_t number) const;         // of a stand-in host
@@ -32,6 +47,7 @@
     std::string at(size_t group, size_t number) const;
     int block_;
     size_t controls_;
+    bool relayed_;
 };
 
 struct FleetOptions {
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -140,6 +140,7 @@
     app.add_option("--control", command.soak.size.controls, "Machines with a control node")->check(CLI::Range(3, 20));
     app.add_option("--proxies", command.soak.size.proxies, "Machines, each with a proxy")->check(CLI::Range(3, 250));
     app.add_flag("--planned", command.soak.planned, "Planned work alone, in series: stops, reloads and changes");
+    app.add_flag("--storm", command.soak.storm, "The configuration changes without a pause, in all its parts");
     app.add_option("--kept-clients", command.soak.kept_clients, "Clients that keep their connections")
         ->check(CLI::Range(0, 5000));
     app.add_option("--keep", command.keep, "Folder in which logs and disks of every seed are kept");
--- a/src/soak/operator.cpp
+++ b/src/soak/operator.cpp
@@ -41,13 +41,24 @@
 
 }   // namespace
 
-std::string configuration_text(uint64_t version, const Limits& limits) {
-    std::string route_list, tenant_list;
+std::string configuration_text(uint64_t version, const Limits& limits, bool varied) {
+    std::string route_list, tenant_list, services = services_json, rest;
     for (const auto& route : routes) route_list += (route_list.empty() ? "" : ",") + route_json(route);
     for (const auto& tenant : tenants())
         tenant_list += (tenant_list.empty() ? "" : ",") + tenant_json(tenant, limits.at(tenant.name));
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route_list + R"(],"services":)" +
-           services_json + R"(,"tenants":[)" + tenant_list + "]}";
+    if (varied) {
+        const auto n = std::to_string(version);
+        route_list += R"(,{"name":"w","hostname":"w.example","pathPrefix":"/w)" + n + R"(/","kind":"idempotent",)" +
+                      R"("timeoutMs":)" + std::to_string(1000 + version % 5000) +
+                      R"(,"backends":[{"service":"plain",)" + R"("weight":)" + std::to_string(1 + version % 99) +
+                      R"(},{"service":"s)" + n + R"(","weight":1}]})";
+        services.insert(services.size() - 1, R"(,{"name":"s)" + n + R"("})");
+        tenant_list +=
+            R"(,{"name":"t)" + n + R"(","apiKeys":["key-of-)" + n + R"("],"ratePerS":)" + n + R"(,"burst":10})";
+        rest = R"(,"limits":{"idleTimeoutMs":)" + std::to_string(15000 + version % 7 * 1000) + "}";
+    }
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route_list + R"(],"services":)" + services +
+           R"(,"tenants":[)" + tenant_list + "]" + rest + "}";
 }
 
 Operator::Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
@@ -73,7 +84,7 @@
             limits_[tenant.name] = {std::floor(tenant.limit.rate * factor), std::floor(tenant.limit.burst * factor)};
     }
     version_ += 1 + static_cast<uint64_t>(chance_.below(static_cast<int>(most_version_step)));
-    bodies_[version_] = configuration_text(version_, limits_);
+    bodies_[version_] = configuration_text(version_, limits_, pace_ == Pace::storm);
     checker_.configuration_sent(version_, limits_, now_());
     events_.note("configuration " + std::to_string(version_) + " is sent");
     send_again();
@@ -112,13 +123,20 @@
     after(timer_, pause, [this] { send_again(); });
 }
 
+double Operator::pause_between() {
+    switch (pace_) {
+        case Pace::calm: return chance_.between(soonest, latest);
+        case Pace::series: return chance_.between(soonest_in_series, latest_in_series);
+        case Pace::storm: return 0;
+    }
+    return 0;
+}
+
 void Operator::acknowledged() {
     acknowledged_ = version_;
     events_.note("configuration " + std::to_string(version_) + " is acknowledged");
     events_.acknowledged(version_);
-    const double pause =
-        pace_ == Pace::series ? chance_.between(soonest_in_series, latest_in_series) : chance_.between(soonest, latest);
-    after(timer_, pause, [this] { start(); });
+    after(timer_, pause_between(), [this] { start(); });
 }
 
 void Operator::read_back(std::function<void()> done) {
--- a/src/soak/operator.hpp
+++ b/src/soak/operator.hpp
@@ -14,7 +14,9 @@
 namespace myrtleroute::soak {
 
 // The configuration of a version as it goes over the wire: the routes and services of the soak, its tenants with limits.
-std::string configuration_text(uint64_t version, const Limits& limits);
+// `varied`: beside these it has routes, services, weights, time-outs, tenants and keys that no client uses and that are
+// others in every version; so is the time for which connections may rest.
+std::string configuration_text(uint64_t version, const Limits& limits, bool varied = false);
 
 // What the operator tells of its orders.
 struct OperatorEvents {
@@ -24,7 +26,8 @@
 
 class Operator {
 public:
-    enum class Pace { calm, series };   // changes every few seconds, or several a second
+    // Changes every few seconds; several a second; one as soon as the last is acknowledged, in all parts.
+    enum class Pace { calm, series, storm };
     Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
              std::function<double()> now, OperatorEvents events, Pace pace = Pace::calm);
 
@@ -36,6 +39,7 @@
     void send(size_t control, int redirects);
     void answered(const HttpReply& reply, int redirects);
     void acknowledged();
+    double pause_between();   // changes, in seconds
     void read(size_t control, int redirects);
     void judge_reading(const HttpReply& reply);
     size_t another_control();
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -1,20 +1,15 @@
 #include "soak/soak.hpp"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
-#include <stdexcept>
 
 #include "soak/timing.hpp"
 
 namespace myrtleroute::soak {
 namespace {
 
-using asio::ip::tcp;
-
 constexpr double tick_every = 0.01, worth_noting = 0.25;                     // seconds between ticks
 constexpr double start_within = 30, recover_within = 12, read_within = 12;   // seconds
 constexpr double served_span = 2.5, served_delay = 0.5;   // requests sent in this span, as they stand this much later
@@ -24,23 +19,7 @@
 constexpr double longest_stop = 9;                        // from SIGTERM until the process is back
 constexpr double answer_loss = 0.5, subscription_loss = 0.1, host_loss = 0.33;
 constexpr size_t hosts_of_service = 3;
-constexpr uint16_t lock_port = 7499, host_port = 9000;
-constexpr int first_block = 20, block_count = 200;
-
-// An address block that no other run has: the lock is bound as long as it is used.
-int claim_block(tcp::acceptor& lock) {
-    for (int i = 0; i < block_count; ++i) {
-        const int block = first_block + (static_cast<int>(::getpid()) + i) % block_count;
-        const tcp::endpoint at(asio::ip::make_address("127." + std::to_string(block) + ".255.254"), lock_port);
-        asio::error_code error;
-        lock.open(at.protocol());
-        lock.bind(at, error);
-        if (!error) lock.listen(1, error);
-        if (!error) return block;
-        lock.close();
-    }
-    throw std::runtime_error("no block of loopback addresses is free");
-}
+constexpr uint16_t host_port = 9000;
 
 QuotaBounds bounds_of(const FleetOptions& fleet) { return {fleet.quota_window, fleet.quota_over, fleet.quota_slack}; }
 
@@ -56,8 +35,8 @@
 
 Soak::Soak(SoakOptions options)
     : options_(std::move(options)),
-      block_lock_(context_),
-      addresses_(claim_block(block_lock_), options_.size.controls),
+      block_(context_),
+      addresses_(block_.number(), options_.size.controls),
       checker_(bounds_of(fleet_options(options_)), options_.planned),
       chance_(options_.seed, 0x736f616b),
       plan_(options_.planned ? draw_planned_work(options_.seed, options_.size, options_.seconds)
@@ -92,7 +71,9 @@
                        [this](const std::string& text) {
                            note(text);
                        }},
-        options_.planned ? Operator::Pace::series : Operator::Pace::calm);
+        options_.storm     ? Operator::Pace::storm
+        : options_.planned ? Operator::Pace::series
+                           : Operator::Pace::calm);
 }
 
 double Soak::now() const { return std::chrono::duration<double>(std::chrono::steady_clock::now() - start_).count(); }
--- a/src/soak/soak.hpp
+++ b/src/soak/soak.hpp
@@ -26,6 +26,7 @@
     double seconds = 20;   // with faults
     FleetSize size;
     bool planned = false;   // planned work alone, in series
+    bool storm = false;     // the configuration changes without a pause, in all its parts
     size_t kept_clients = 40;
 };
 
@@ -66,7 +67,7 @@
 
     SoakOptions options_;
     asio::io_context context_;
-    asio::ip::tcp::acceptor block_lock_;   // held while the block of addresses is in use
+    AddressBlock block_;
     Addresses addresses_;
     Checker checker_;
     lab::Chance chance_;
