--- a/src/lab/control/main.cpp
+++ b/src/lab/control/main.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <iomanip>
 #include <iostream>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 #include "lab/control/explorer.hpp"
@@ -150,20 +152,32 @@
         {"four voters, a time-out, a proposal, a crash", {4, 0, true, 60, 1, 0, 1, 1, 0, 0}},
         {"four voters, a lost disk, a proposal", {4, 0, true, 60, 0, 4, 1, 0, 1, 0}},
     };
+    struct Done {
+        std::string text;
+        bool sound = true;
+    };
+    std::vector<std::future<Done>> all;
+    for (const auto& named : explorations)
+        all.push_back(std::async(std::launch::async, [named, depth, states] {
+            auto what = named.what;
+            if (depth) what.depth = depth;
+            what.most_states = states;
+            const auto began = std::chrono::steady_clock::now();
+            const auto found = explore(what);
+            const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+            std::ostringstream text;
+            text << named.name << ": depth " << what.depth << ", " << found.states << " states"
+                 << (found.complete ? "" : " (the limit)") << ", " << found.transitions << " transitions, "
+                 << found.elections << " elections, " << found.commits << " commits, " << std::fixed
+                 << std::setprecision(1) << took.count() << " s\n";
+            if (found.broken) text << "broken: " << *found.broken << '\n';
+            return Done{text.str(), !found.broken};
+        }));
     bool sound = true;
-    for (const auto& [name, exploration] : explorations) {
-        auto what = exploration;
-        if (depth) what.depth = depth;
-        what.most_states = states;
-        const auto began = std::chrono::steady_clock::now();
-        const auto found = explore(what);
-        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
-        std::cout << name << ": depth " << what.depth << ", " << found.states << " states"
-                  << (found.complete ? "" : " (the limit)") << ", " << found.transitions << " transitions, "
-                  << found.elections << " elections, " << found.commits << " commits, " << std::fixed
-                  << std::setprecision(1) << took.count() << " s\n";
-        if (found.broken) std::cout << "broken: " << *found.broken << '\n';
-        sound = sound && !found.broken;
+    for (auto& each : all) {
+        const auto done = each.get();
+        std::cout << done.text;
+        sound = sound && done.sound;
     }
     return sound ? held : broke;
 }
