--- /dev/null
+++ b/tests/system/protocol_test.cpp
@@ -0,0 +1,147 @@
+// Sentences of the wire that no other test names: keys and tenants, ranks, bodies, bounds on what a client may send.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "proxy_world.hpp"
+
+using namespace myrtleroute;
+using testing::ProxyWorld;
+
+namespace {
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+// A configuration with two tenants, one of which has a rank of its own, a public route and narrow bounds on requests.
+messages::ConfigurationTold with_tenants() {
+    return {
+        1,
+        R"({"version":1,"routes":[)"
+        R"({"hostname":"h.example","pathPrefix":"/a/","kind":"idempotent","timeoutMs":6000,"service":"s","priority":4},)"
+        R"({"hostname":"h.example","pathPrefix":"/open/","kind":"idempotent","timeoutMs":6000,"service":"s","public":true},)"
+        R"({"hostname":"h.example","pathPrefix":"/events/","kind":"streaming","timeoutMs":6000,"service":"s",)"
+        R"("resumable":true}],"services":[{"name":"s"}],)"
+        R"("tenants":[{"name":"acme","apiKeys":["key-one","key-two"],"priority":1},{"name":"plain","apiKeys":["key-three"]}],)"
+        R"("limits":{"maxHeaderBytes":2048,"maxBodyBytes":5000,"headerTimeoutMs":1000,"idleTimeoutMs":15000}})"};
+}
+
+struct Fleet {
+    ProxyWorld world{1};
+
+    Fleet() {
+        messages::FleetTold fleet;
+        fleet.current = true;
+        world.say(fleet);
+        world.say(with_tenants());
+        world.say(messages::HostsTold{{{"i-0", "s", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1}}});
+        world.pass(Span{0.1});
+    }
+    static std::string request(const std::string& path, const std::string& fields, const std::string& body = "x") {
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n" + fields +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    // What a host gets of the request; empty where none comes there.
+    std::string at_host(const std::string& text) {
+        world.client().send(text);
+        world.pass(Span{0.05});
+        auto* host = world.asked();
+        return host ? host->take() : "";
+    }
+    // What the client is answered at once.
+    std::string answer_to(const std::string& text) {
+        auto& client = world.client();
+        client.send(text);
+        world.pass(Span{0.05});
+        return client.take();
+    }
+};
+
+}   // namespace
+
+TEST_CASE("a host is told the tenant that holds the client's key, whatever the client says, and never the key") {
+    Fleet fleet;
+    for (const std::string key : {"key-one", "key-two"}) {
+        const auto seen =
+            fleet.at_host(Fleet::request("/a/b", "Authorization: Token " + key + "\r\nX-Tenant-Id: plain\r\n"));
+        CHECK(contains(seen, "\r\nX-Tenant-Id: acme\r\n"));
+        CHECK_FALSE(contains(seen, "plain"));
+        CHECK_FALSE(contains(seen, key));
+        CHECK_FALSE(contains(seen, "Authorization"));
+    }
+}
+
+TEST_CASE("without a key that is known a request gets 401, unless its route is public; then it has no tenant") {
+    Fleet fleet;
+    for (const std::string fields : {"", "Authorization: Token other\r\n", "Authorization: Token \r\n",
+                                     "Authorization: Bearer key-one\r\n", "X-Tenant-Id: acme\r\n"}) {
+        CAPTURE(fields);
+        CHECK(contains(fleet.answer_to(Fleet::request("/a/b", fields)), "HTTP/1.1 401 "));
+    }
+    CHECK(fleet.world.arrivals("r1") == 0);
+    const auto seen = fleet.at_host(Fleet::request("/open/b", "X-Tenant-Id: acme\r\n"));
+    CHECK(contains(seen, "POST /open/b HTTP/1.1\r\n"));
+    CHECK_FALSE(contains(seen, "X-Tenant-Id"));
+}
+
+TEST_CASE("a request's rank is its tenant's, else its route's, never what the client says") {
+    Fleet fleet;
+    const auto of_tenant = fleet.at_host(Fleet::request("/a/b", "Authorization: Token key-one\r\nPriority: 0\r\n"));
+    CHECK(contains(of_tenant, "\r\nPriority: 1\r\n"));
+    const auto of_route = fleet.at_host(Fleet::request("/a/b", "Authorization: Token key-three\r\n"));
+    CHECK(contains(of_route, "\r\nPriority: 4\r\n"));
+    CHECK(of_route.find("Priority", of_route.find("Priority") + 1) == std::string::npos);
+}
+
+TEST_CASE(
+    "method, path with its query and body reach the host as they were sent, in chunks too; connection fields don't") {
+    Fleet fleet;
+    const auto whole = fleet.at_host(
+        "PATCH /open/b%20c?d=1&e HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Other: "
+        "kept\r\nConnection: X-Hop\r\nKeep-Alive: timeout=5\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n7\r\n second\r\n0\r\n\r\n");
+    CHECK(contains(whole, "PATCH /open/b%20c?d=1&e HTTP/1.1\r\n"));
+    CHECK(contains(whole, "\r\nX-Other: kept\r\n"));
+    CHECK(contains(whole, "\r\nContent-Length: 12\r\n"));
+    CHECK(contains(whole, "\r\n\r\nfirst second"));
+    CHECK_FALSE(contains(whole, "Keep-Alive"));
+    CHECK_FALSE(contains(whole, "Transfer-Encoding"));
+}
+
+TEST_CASE("a client that takes its stream up is sent on behind the event that it names") {
+    Fleet fleet;
+    const auto seen =
+        fleet.at_host(Fleet::request("/events/b", "Authorization: Token key-one\r\nLast-Event-Id: 12\r\n"));
+    CHECK(contains(seen, "\r\nLast-Event-Id: 12\r\n"));
+    CHECK(seen.find("Last-Event-Id", seen.find("Last-Event-Id") + 1) == std::string::npos);
+}
+
+TEST_CASE("what a client may send, and how long a head may take, is bounded by the configuration") {
+    Fleet fleet;
+    const std::string large_field = "X-Large: " + std::string(4000, 'x') + "\r\n";
+    CHECK(contains(fleet.answer_to(Fleet::request("/open/b", large_field)), "HTTP/1.1 431 "));
+    CHECK(contains(fleet.answer_to(Fleet::request("/open/b", "", std::string(5001, 'b'))), "HTTP/1.1 413 "));
+    auto& slow = fleet.world.client();
+    slow.send("POST /open/b HTTP/1.1\r\nHost: h.exa");
+    fleet.world.pass(Span{0.9});
+    CHECK(slow.received.empty());
+    fleet.world.pass(Span{0.2});
+    CHECK(contains(slow.take(), "HTTP/1.1 408 "));
+    CHECK(fleet.world.arrivals("r1") == 0);
+    CHECK_FALSE(fleet.at_host(Fleet::request("/open/b", "", std::string(5000, 'b'))).empty());
+}
+
+TEST_CASE("a request without a route gets 404, one with a field that smuggles another is refused") {
+    Fleet fleet;
+    CHECK(contains(fleet.answer_to(Fleet::request("/none/b", "Authorization: Token key-one\r\n")), "HTTP/1.1 404 "));
+    CHECK(contains(fleet.answer_to(Fleet::request("/ope", "")), "HTTP/1.1 404 "));
+    for (const std::string fields :
+         {"Content-Length: 1\r\nContent-Length: 2\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n",
+          "Transfer-Encoding: x, chunked\r\n", "Content-Length: +1\r\n"}) {
+        CAPTURE(fields);
+        const auto answer =
+            fleet.answer_to("POST /open/b HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n" + fields + "\r\nx");
+        CHECK(contains(answer, "HTTP/1.1 400 "));
+        CHECK(contains(answer, "Connection: close"));
+    }
+    CHECK(fleet.world.arrivals("r1") == 0);
+}
