Test of second answers: it no longer rests on the machine's speed

Cause: the case takes it that the next call comes within 20 ms of the first answer, the time for which a connection carries no other call (rest_share of connect_timeout). Change: such a case is begun anew, twenty times at the most; every assertion is as it was, and a proxy that uses the first connection at once still fails.

--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -231,21 +231,29 @@
 }
 
 TEST_CASE("a second answer right behind the first never passes for the next call's") {
-    World w;
-    auto client = w.client();
-    client.send(request("book"));
-    auto server = w.servers[0].accept();
-    server.message();
-    server.send(answer("first"));
-    CHECK(client.message().find("first") != std::string::npos);
-    client.send(request("book"));
-    auto next = w.servers[0].accept();
-    server.send(answer("first"));
-    next.message();
-    next.send(answer("second"));
-    CHECK(client.message().find("second") != std::string::npos);
-    CHECK(server.ends());
-    CHECK(w.logs("server s-0 ended: bad_answer"));
+    // For a moment after its answer a connection carries no other call, so the next one takes a new connection. Where the
+    // machine holds this process up for longer than that, the case is begun anew.
+    constexpr int most_tries = 20;
+    for (int tries = 1;; ++tries) {
+        REQUIRE(tries <= most_tries);
+        World w;
+        auto client = w.client();
+        client.send(request("book"));
+        auto server = w.servers[0].accept();
+        server.message();
+        server.send(answer("first"));
+        CHECK(client.message().find("first") != std::string::npos);
+        client.send(request("book"));
+        if (!w.servers[0].called(0.5)) continue;
+        auto next = w.servers[0].accept();
+        server.send(answer("first"));
+        next.message();
+        next.send(answer("second"));
+        CHECK(client.message().find("second") != std::string::npos);
+        CHECK(server.ends());
+        CHECK(w.logs("server s-0 ended: bad_answer"));
+        return;
+    }
 }
 
 TEST_CASE("what stands idle to a server that has fallen silent carries no call either") {
