Two tests as strict as they were meant: the fan-out's part of the link, asks that wait for a leader

Cause: rewrote configuration_fanout_test and raised the bound on the part of a link that copies take in a storm from 0.45 to 0.65 without a word; the test of waiting asks looked only for its counter's name. Change: 0.45 again for twelve subscribers; the counter must say 10.

--- a/tests/system/bounds_test.cpp
+++ b/tests/system/bounds_test.cpp
@@ -238,7 +238,7 @@
     }
     const auto text = figures(control);
     CAPTURE(text.substr(0, 600));
-    CHECK(contains(text, bound("lease_asks") + " "));
+    CHECK(contains(text, bound("lease_asks") + " 10\n"));
 }
 
 TEST_CASE("no more holders are lent units than may be, and those that are known go on") {
--- a/tests/system/configuration_fanout_test.cpp
+++ b/tests/system/configuration_fanout_test.cpp
@@ -81,7 +81,7 @@
 TEST_CASE("in a storm of changes copies take a part of the link only, and everybody has the newest soon after it") {
     Storm storm(12, 27000);
     storm.play(Span{20}, Span{});
-    CHECK(storm.bytes * 8 / 1e6 / 20 < 0.65 * small_link);
+    CHECK(storm.bytes * 8 / 1e6 / 20 < 0.45 * small_link);
     storm.play(Span{}, Span{1});
     CHECK(storm.all_have_the_newest());
 }
