PATCH /config: named items are added, replaced and removed, on the path of whole configurations

Change: configuration/patch applies a change to the current document (an upsert keeps the place of others); the judge, the log and the fan-out are those of PUT, and what is replicated is the whole that results. Findings name the place in the patch. A patch is never taken for a PUT of the same bytes. Orders and results hold 4 MB at most (413). Schemas of items are shared by both kinds of order.

--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -1,14 +1,10 @@
 #include "configuration/configuration.hpp"
 
-#include <rapidjson/document.h>
-#include <rapidjson/error/en.h>
-#include <rapidjson/schema.h>
-#include <rapidjson/stringbuffer.h>
-
 #include <map>
 #include <set>
 #include <utility>
 
+#include "configuration/json_document.hpp"
 #include "configuration/schema.hpp"
 
 namespace myrtleroute::configuration {
@@ -18,15 +14,6 @@
 
 constexpr double milliseconds = 1e-3;
 
-const rapidjson::SchemaDocument& schema() {
-    static const rapidjson::SchemaDocument compiled = [] {
-        rapidjson::Document document;
-        document.Parse(configuration_schema);
-        return rapidjson::SchemaDocument(document);
-    }();
-    return compiled;
-}
-
 std::string text(const Value& object, const char* key) {
     const auto member = object.FindMember(key);
     if (member == object.MemberEnd() || !member->value.IsString()) return {};
@@ -52,15 +39,6 @@
     for (const auto& item : member->value.GetArray()) take(item, place + "/" + key + "/" + std::to_string(number++));
 }
 
-Findings check_schema(const rapidjson::Document& document) {
-    rapidjson::SchemaValidator validator(schema());
-    if (document.Accept(validator)) return {};
-    rapidjson::StringBuffer place;
-    validator.GetInvalidDocumentPointer().Stringify(place);
-    return {{place.GetSize() ? place.GetString() : "/",
-             std::string("breaks the schema's '") + validator.GetInvalidSchemaKeyword() + "'"}};
-}
-
 RouteKind route_kind(const std::string& name) {
     if (name == "idempotent") return RouteKind::idempotent;
     return name == "streaming" ? RouteKind::streaming : RouteKind::non_idempotent;
@@ -159,12 +137,9 @@
 }   // namespace
 
 Checked<Configuration> read_configuration(std::string_view json) {
+    static const rapidjson::SchemaDocument schema = compile_schema(configuration_schema());
     rapidjson::Document document;
-    document.Parse<rapidjson::kParseValidateEncodingFlag>(json.data(), json.size());
-    if (document.HasParseError())
-        return Findings{{"byte " + std::to_string(document.GetErrorOffset()),
-                         rapidjson::GetParseError_En(document.GetParseError())}};
-    if (auto findings = check_schema(document); !findings.empty()) return findings;
+    if (auto findings = parse_document(json, schema, document); !findings.empty()) return findings;
 
     Configuration configuration;
     Checker checker;
--- a/src/configuration/schema.hpp
+++ b/src/configuration/schema.hpp
@@ -1,8 +1,10 @@
-// The schema of the operator's configurations (JSON Schema draft 4, as RapidJSON implements it).
+// JSON schemas of what operators send.
 #pragma once
+#include <string>
 
 namespace myrtleroute::configuration {
 
-extern const char* const configuration_schema;
+std::string configuration_schema();   // of a whole configuration
+std::string patch_schema();           // of a change of named items
 
 }   // namespace myrtleroute::configuration
--- a/src/roles/control/configuration_service.cpp
+++ b/src/roles/control/configuration_service.cpp
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "configuration/configuration.hpp"
+
 namespace myrtleroute::control {
 namespace {
 
@@ -14,17 +16,20 @@
 constexpr Span patience{2.5};            // an order is left without a clear answer after this
 constexpr size_t most_accepted = 1024;   // configurations that are recognised when sent again
 
-std::string digest(std::string_view body) {
-    const auto hash = XXH3_128bits(body.data(), body.size());
+constexpr size_t most_document = 4 << 20;   // bytes; a record on disk holds it with its escapes
+constexpr std::string_view patch_mark = "PATCH\n";   // a patch is never taken for a whole configuration sent again
+
+std::string digest(std::string_view text) {
+    const auto hash = XXH3_128bits(text.data(), text.size());
     XXH128_canonical_t canonical;
     XXH128_canonicalFromHash(&canonical, hash);
     constexpr char digits[] = "0123456789abcdef";
-    std::string text;
+    std::string hexadecimal;
     for (const unsigned char byte : canonical.digest) {
-        text.push_back(digits[byte >> 4]);
-        text.push_back(digits[byte & 15]);
+        hexadecimal.push_back(digits[byte >> 4]);
+        hexadecimal.push_back(digits[byte & 15]);
     }
-    return text;
+    return hexadecimal;
 }
 
 Answer findings_answer(RequestNumber request, const Findings& findings) {
@@ -45,10 +50,14 @@
 }
 
 void ConfigurationService::put(RequestNumber request, std::optional<uint64_t> if_match, std::string body, Time now) {
-    take({request, false, if_match, std::move(body), now}, now);
+    take({request, Kind::put, if_match, std::move(body), now}, now);
+}
+
+void ConfigurationService::patch(RequestNumber request, std::optional<uint64_t> if_match, std::string body, Time now) {
+    take({request, Kind::patch, if_match, std::move(body), now}, now);
 }
 
-void ConfigurationService::get(RequestNumber request, Time now) { take({request, true, {}, {}, now}, now); }
+void ConfigurationService::get(RequestNumber request, Time now) { take({request, Kind::read, {}, {}, now}, now); }
 
 void ConfigurationService::take(Order order, Time now) {
     if (waiting_.size() >= most_waiting) {
@@ -71,22 +80,45 @@
 void ConfigurationService::begin(Order order, Time now) {
     const auto& state = replica_.entry()->state;
     const auto request = order.request;
-    if (order.reads) {
+    if (order.kind == Kind::read) {
         Answer answer = state.version ? Answer{request, 200, state.configuration, {}}
                                       : refusal(request, 404, "there is no configuration yet");
         return wait_for_barrier(std::move(order), std::move(answer), now);
     }
-    const auto sent = digest(order.body);
+    const auto sent = digest_of(order);
     const auto known =
         std::find_if(state.accepted.rbegin(), state.accepted.rend(), [&](const auto& a) { return a.digest == sent; });
     if (known != state.accepted.rend())   // sent again: it is in force or has been
         return wait_for_barrier(std::move(order), accepted(request, known->version), now);
-    const auto checked = configuration::read_configuration(order.body);
-    if (const auto* findings = std::get_if<Findings>(&checked)) {
+    decide(std::move(order), sent, now);
+}
+
+std::string ConfigurationService::digest_of(const Order& order) {
+    return order.kind == Kind::put ? digest(order.body) : digest(std::string(patch_mark) + order.body);
+}
+
+Checked<configuration::Patched> ConfigurationService::result_of(const Order& order,
+                                                                const consensus::ClusterState& state) {
+    if (order.kind == Kind::patch) return configuration::apply_patch(state.configuration, order.body);
+    auto checked = configuration::read_configuration(order.body);
+    if (auto* findings = std::get_if<Findings>(&checked)) return std::move(*findings);
+    return configuration::Patched{std::get<configuration::Configuration>(checked).version, order.body};
+}
+
+// An answer that depends on the current configuration waits for a barrier.
+void ConfigurationService::decide(Order order, const std::string& sent, Time now) {
+    const auto& state = replica_.entry()->state;
+    const auto request = order.request;
+    if (order.body.size() > most_document) {
+        outputs_.push_back(refusal(request, 413, "the body may hold 4 MB"));
+        return;
+    }
+    auto checked = result_of(order, state);
+    const auto* findings = std::get_if<Findings>(&checked);
+    if (findings && order.kind == Kind::put) {   // a whole configuration is at fault by itself
         outputs_.push_back(findings_answer(request, *findings));
         return;
     }
-    const auto version = std::get<configuration::Configuration>(checked).version;
     if (!order.if_match) {
         outputs_.push_back(refusal(request, 428, "If-Match must name the version that this one builds on"));
         return;
@@ -95,12 +127,18 @@
         auto answer = refusal(request, 412, "the current version is " + std::to_string(state.version));
         return wait_for_barrier(std::move(order), std::move(answer), now);
     }
-    if (version <= state.version) {
+    if (findings) return wait_for_barrier(std::move(order), findings_answer(request, *findings), now);
+    auto& result = std::get<configuration::Patched>(checked);
+    if (result.version <= state.version) {
         auto answer = findings_answer(
             request, {{"/version", "must be above the current version " + std::to_string(state.version)}});
         return wait_for_barrier(std::move(order), std::move(answer), now);
     }
-    propose(std::move(order), version, sent, now);
+    if (result.document.size() > most_document) {
+        auto answer = refusal(request, 413, "the configuration that results may hold 4 MB");
+        return wait_for_barrier(std::move(order), std::move(answer), now);
+    }
+    propose(std::move(order), std::move(result), sent, now);
 }
 
 void ConfigurationService::wait_for_barrier(Order order, Answer answer, Time now) {
@@ -109,10 +147,11 @@
     if (!in_progress_->barrier) leadership_lost();
 }
 
-void ConfigurationService::propose(Order order, uint64_t version, const std::string& sent, Time now) {
+void ConfigurationService::propose(Order order, configuration::Patched result, const std::string& sent, Time now) {
     auto state = replica_.entry()->state;
+    const auto version = result.version;
     state.version = version;
-    state.configuration = order.body;
+    state.configuration = std::move(result.document);
     if (state.accepted.size() >= most_accepted) {
         state.accepted.erase(state.accepted.begin());
         ++bounds_.accepted_digests;
--- a/src/roles/control/configuration_service.hpp
+++ b/src/roles/control/configuration_service.hpp
@@ -1,4 +1,5 @@
-// The operator's API for configurations: decides each order in its turn on the replicated state.
+// The operator's API for configurations: decides each order in its turn on the replicated state. An order brings a whole
+// configuration (PUT) or changes named items of the current one (PATCH); what is replicated is the whole that results.
 //
 // Only the leader decides. An order is answered once what the answer says is committed: an acceptance when its entry
 // is, a refusal or a reading when a barrier shows that this replica still led.
@@ -8,7 +9,7 @@
 #include <optional>
 #include <string>
 
-#include "configuration/configuration.hpp"
+#include "configuration/patch.hpp"
 #include "consensus/replica.hpp"
 #include "roles/control/bounds_reached.hpp"
 #include "roles/control/outputs.hpp"
@@ -22,6 +23,7 @@
 
     // The caller has made sure that this replica leads. `if_match`: nothing where the header is missing or unsound.
     void put(RequestNumber request, std::optional<uint64_t> if_match, std::string body, Time now);
+    void patch(RequestNumber request, std::optional<uint64_t> if_match, std::string body, Time now);
     void get(RequestNumber request, Time now);
 
     void committed(uint64_t index, Time now);
@@ -30,9 +32,10 @@
     void tick(Time now);
 
 private:
+    enum class Kind { read, put, patch };
     struct Order {
         RequestNumber request = 0;
-        bool reads = false;
+        Kind kind = Kind::read;
         std::optional<uint64_t> if_match;
         std::string body;
         Time arrived;
@@ -46,8 +49,12 @@
     void take(Order order, Time now);
     void proceed(Time now);
     void begin(Order order, Time now);
+    void decide(Order order, const std::string& digest, Time now);
     void wait_for_barrier(Order order, Answer answer, Time now);
-    void propose(Order order, uint64_t version, const std::string& digest, Time now);
+    void propose(Order order, configuration::Patched result, const std::string& digest, Time now);
+    // What the order makes of the current configuration.
+    static Checked<configuration::Patched> result_of(const Order& order, const consensus::ClusterState& state);
+    static std::string digest_of(const Order& order);
     void finish(Time now);
 
     consensus::Replica& replica_;
--- a/src/roles/control/http_api.cpp
+++ b/src/roles/control/http_api.cpp
@@ -23,6 +23,7 @@
         case 404: return {code, "Not Found"};
         case 405: return {code, "Method Not Allowed"};
         case 412: return {code, "Precondition Failed"};
+        case 413: return {code, "Payload Too Large"};
         case 428: return {code, "Precondition Required"};
         default: return {code, "Service Unavailable"};
     }
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -80,14 +80,16 @@
 }
 
 void Node::configuration_request(const HttpRequest& request, Time now) {
-    if (request.method != "GET" && request.method != "PUT") {
-        outputs_.push_back(refusal(request.number, 405, "GET and PUT are served here"));
+    const bool reads = request.method == "GET", patches = request.method == "PATCH";
+    if (!reads && !patches && request.method != "PUT") {
+        outputs_.push_back(refusal(request.number, 405, "GET, PUT and PATCH are served here"));
         return;
     }
     if (replica_.role() == consensus::Role::leader) {
-        if (request.method == "GET") return configurations_.get(request.number, now);
-        return configurations_.put(request.number, wire::whole<uint64_t>(wire::trim(request.if_match)), request.body,
-                                   now);
+        if (reads) return configurations_.get(request.number, now);
+        const auto if_match = wire::whole<uint64_t>(wire::trim(request.if_match));
+        if (patches) return configurations_.patch(request.number, if_match, request.body, now);
+        return configurations_.put(request.number, if_match, request.body, now);
     }
     const auto leader = replica_.is_current(now) ? replica_.leader() : std::nullopt;
     const auto known = leader ? known_.find(leader->endpoint) : known_.end();
--- a/tests/system/control_node.hpp
+++ b/tests/system/control_node.hpp
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "configuration/configuration.hpp"
 #include "roles/control/node.hpp"
 
 namespace myrtleroute::testing {
