A lease on the configuration: a key that was taken away is served nowhere beyond the bound

Change: proxies ask their control node which configuration is the newest; it answers behind a read barrier, on the leader's next regular heartbeat. A proxy answers for keys until 0.96 of the bound after it sent the ask; then 503 with Retry-After, and it is not ready. Public routes go on. Barriers of new subscriptions and of leases share BarrierBatch.

--- a/src/configuration/node_settings.cpp
+++ b/src/configuration/node_settings.cpp
@@ -177,6 +177,8 @@
     settings.quota_window = Span{reader.number("bounds.quotaWindowS", 8)};
     settings.quota_over = reader.number("bounds.quotaOver", 0);
     settings.quota_slack = reader.number("bounds.quotaSlack", 0);
+    if (reader.truth("bounds.closed", false))
+        settings.revocation_bound = Span{reader.number("bounds.revokeMs", 5000) * milliseconds};
     if (!reader.findings.empty()) return std::move(reader.findings);
     return settings;
 }
--- a/src/configuration/node_settings.hpp
+++ b/src/configuration/node_settings.hpp
@@ -51,6 +51,9 @@
     Span quota_window{8};
     double quota_over = 0;    // tolerated share above a tenant's quota
     double quota_slack = 0;   // tokens that all proxies together may use beyond it
+    // An API key is served for so long at most after its removal was acknowledged, also by a proxy that can't know of it;
+    // nothing: there is no such bound.
+    std::optional<Span> revocation_bound;
 
     // The address that others are told.
     const std::string& reached_at() const { return advertised_address ? *advertised_address : address; }
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -72,6 +72,9 @@
 // of then is committed too (at the leader only).
 enum class BarrierAt { committed, last };
 
+// Which round of the leader confirms a barrier: one that is sent for it, or the next regular heartbeat, which costs nothing.
+enum class BarrierRound { at_once, next_heartbeat };
+
 // This replica leads, or no longer does. Proposals and barriers that were open are void. A barrier of a follower is
 // void without a word when its leader changes; the caller asks for another one after a time.
 struct LeadershipChanged {
@@ -99,7 +102,7 @@
     // The leader's: makes the state the next entry. Nothing where this replica does not lead.
     std::optional<Position> propose(ClusterState state, Time now);
     // At the leader or, by way of the leader, at any other replica. Nothing where no leader is known.
-    std::optional<uint64_t> barrier(BarrierAt at, Time now);
+    std::optional<uint64_t> barrier(BarrierAt at, Time now, BarrierRound round = BarrierRound::at_once);
     void transfer_leadership(Time now);   // to the most current voter, where this replica leads
     void depart(Time now);                // this process is about to end: leadership goes, the leader is told
 
@@ -166,6 +169,7 @@
     void start_election(bool trial, bool transfer, Time now);
     void lead(Time now);
     void heartbeat(Time now);
+    uint64_t begin_round(BarrierRound round, Time now);   // the number of the round that confirms a barrier
     void append_to(const ReplicaId& to, Peer& peer, Time now);
     Append append_for(const Peer& peer) const;
     void adopt(Entry entry);
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -31,25 +31,32 @@
     rounds.push_back({number, at});
 }
 
-std::optional<uint64_t> Replica::barrier(BarrierAt at, Time now) {
+uint64_t Replica::begin_round(BarrierRound round, Time now) {
+    if (round == BarrierRound::next_heartbeat) return round_ + 1;
+    heartbeat(now);
+    return round_;
+}
+
+std::optional<uint64_t> Replica::barrier(BarrierAt at, Time now, BarrierRound round) {
     const auto number = next_barrier_;
     if (role_ == Role::leader) {
-        heartbeat(now);
+        const auto confirmed_by = begin_round(round, now);
         const auto index = at == BarrierAt::last ? last().index : std::max(committed_, own_term_index_);
-        barriers_.push_back({number, round_, index, std::nullopt});
+        barriers_.push_back({number, confirmed_by, index, std::nullopt});
         pass_barriers();
     } else {
         if (!leader_ || follower_barriers_.size() >= most_barriers) return {};
         follower_barriers_.push_back({number, std::nullopt});
-        send(*leader_, ReadRequest{hard_.term, number});
+        send(*leader_, ReadRequest{hard_.term, number, round == BarrierRound::next_heartbeat});
     }
     return next_barrier_++;
 }
 
 void Replica::on(const ReplicaId& from, const ReadRequest& request, Time now) {
     if (role_ != Role::leader || request.term != hard_.term || barriers_.size() >= most_barriers) return;
-    heartbeat(now);
-    barriers_.push_back({request.number, round_, std::max(committed_, own_term_index_), from});
+    const auto confirmed_by =
+        begin_round(request.patient ? BarrierRound::next_heartbeat : BarrierRound::at_once, now);
+    barriers_.push_back({request.number, confirmed_by, std::max(committed_, own_term_index_), from});
     pass_barriers();
 }
 
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -102,6 +102,7 @@
 struct ReadRequest {
     uint64_t term = 0;     // of the leader that is meant
     uint64_t number = 0;   // of the sender's barrier
+    bool patient = false;  // the leader's next regular round is soon enough
     bool operator==(const ReadRequest&) const = default;
 };
 
--- a/src/messages/messages.cpp
+++ b/src/messages/messages.cpp
@@ -78,8 +78,14 @@
 void from_json(const Json& j, TransferLeadership& m) { j.at("term").get_to(m.term); }
 void to_json(Json& j, const Departure& m) { j = {{"term", m.term}}; }
 void from_json(const Json& j, Departure& m) { j.at("term").get_to(m.term); }
-void to_json(Json& j, const ReadRequest& m) { j = {{"term", m.term}, {"number", m.number}}; }
-void from_json(const Json& j, ReadRequest& m) { j.at("term").get_to(m.term), j.at("number").get_to(m.number); }
+void to_json(Json& j, const ReadRequest& m) {
+    j = {{"term", m.term}, {"number", m.number}};
+    if (m.patient) j["patient"] = true;
+}
+void from_json(const Json& j, ReadRequest& m) {
+    j.at("term").get_to(m.term), j.at("number").get_to(m.number);
+    m.patient = j.value("patient", false);
+}
 void to_json(Json& j, const ReadReply& m) { j = {{"term", m.term}, {"number", m.number}, {"index", m.index}}; }
 void from_json(const Json& j, ReadReply& m) {
     j.at("term").get_to(m.term), j.at("number").get_to(m.number), j.at("index").get_to(m.index);
@@ -156,6 +162,13 @@
     j.at("confirm").get_to(m.confirm), j.at("tenants").get_to(m.tenants);
 }
 
+void to_json(Json& j, const ConfigurationLeaseAsk& m) { j = {{"number", m.number}}; }
+void from_json(const Json& j, ConfigurationLeaseAsk& m) { j.at("number").get_to(m.number); }
+void to_json(Json& j, const ConfigurationLeaseReply& m) { j = {{"number", m.number}, {"version", m.version}}; }
+void from_json(const Json& j, ConfigurationLeaseReply& m) {
+    j.at("number").get_to(m.number), j.at("version").get_to(m.version);
+}
+
 }   // namespace leases
 
 namespace messages {
@@ -185,6 +198,8 @@
 MYRTLEROUTE_KIND(Subscribe, "subscribe");
 MYRTLEROUTE_KIND(leases::LeaseAsk, "lease_ask");
 MYRTLEROUTE_KIND(leases::LeaseReply, "lease_reply");
+MYRTLEROUTE_KIND(leases::ConfigurationLeaseAsk, "configuration_lease_ask");
+MYRTLEROUTE_KIND(leases::ConfigurationLeaseReply, "configuration_lease");
 MYRTLEROUTE_KIND(ConfigurationTold, "configuration");
 MYRTLEROUTE_KIND(FleetTold, "fleet");
 #undef MYRTLEROUTE_KIND
--- a/src/messages/messages.hpp
+++ b/src/messages/messages.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "consensus/types.hpp"
+#include "leases/configuration_lease.hpp"
 #include "leases/lease.hpp"
 #include "registry/host_table.hpp"
 
@@ -84,7 +85,8 @@
 // Proxies ask for leases at the control node to which they subscribe; asks and replies go by way of it to the leader and
 // back.
 using Message = std::variant<PeerHello, ConsensusMessage, HostsTold, HostsConfirmed, HostsHeard, ProxiesTold, Subscribe,
-                             leases::LeaseAsk, leases::LeaseReply, ConfigurationTold, FleetTold>;
+                             leases::LeaseAsk, leases::LeaseReply, leases::ConfigurationLeaseAsk,
+                             leases::ConfigurationLeaseReply, ConfigurationTold, FleetTold>;
 
 std::string encode(const Message& message);             // the JSON, without a frame
 std::optional<Message> decode(std::string_view json);   // nothing where it is no sound message
--- /dev/null
+++ b/src/roles/control/barrier_batch.hpp
@@ -0,0 +1,41 @@
+// Connections that wait for a read barrier of the replicated log, in batches: those that wait when a barrier is asked for are
+// proven when it holds.
+#pragma once
+#include <cstdint>
+#include <map>
+
+#include "consensus/replica.hpp"
+#include "roles/control/outputs.hpp"
+
+namespace myrtleroute::control {
+
+struct BarrierBatchOptions {
+    consensus::BarrierRound round = consensus::BarrierRound::at_once;
+    Span again;   // a barrier that has not held by then is asked for again
+    Span pause;   // between the beginnings of two barriers
+};
+
+class BarrierBatch {
+public:
+    BarrierBatch(consensus::Replica& replica, BarrierBatchOptions options) : replica_(replica), options_(options) {}
+
+    // `value` is returned with the connection; a later one of the same connection takes its place, and waits anew.
+    void add(LinkNumber link, uint64_t value) { waiting_[link] = value; }
+    void remove(LinkNumber link);
+    bool is_waiting(LinkNumber link) const { return waiting_.count(link) > 0; }
+    void tick(Time now);   // asks for a barrier where one is wanted
+    // False: the barrier is somebody else's.
+    bool passed(const consensus::BarrierPassed& barrier);
+    // Those that are proven, once everything up to the barrier's index is known here. They wait no longer.
+    std::map<LinkNumber, uint64_t> take_proven(uint64_t known_index);
+
+private:
+    consensus::Replica& replica_;
+    BarrierBatchOptions options_;
+    std::map<LinkNumber, uint64_t> waiting_, asked_for_, proven_;
+    uint64_t barrier_ = 0;        // 0: none is under way
+    uint64_t proven_index_ = 0;   // that must be known before `proven_` are taken
+    Time asked_at_ = long_ago;
+};
+
+}   // namespace myrtleroute::control
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr Span fleet_every{0.25}, proxies_every{0.25}, names_every{1}, hosts_every{1}, moves_every{1};
-constexpr Span barrier_again{0.2};   // a barrier that has not held by then is asked for again
+// New subscriptions wait for traffic; leases are asked for well before they end.
+constexpr BarrierBatchOptions subscription_barriers{consensus::BarrierRound::at_once, Span{0.2}, Span{}};
+constexpr BarrierBatchOptions lease_barriers{consensus::BarrierRound::next_heartbeat, Span{0.5}, Span{0.25}};
 constexpr size_t most_known = 64;    // control nodes
 constexpr size_t most_waiting_asks = 4096;
 constexpr double weight_unknown = 1000;   // Mbit/s, of a link of which nothing is known
@@ -34,7 +36,9 @@
               }},
              replica_.self()),
       lending_(replica_, options_.limit_rule, bounds_),
-      fanout_(options_.link_megabits) {
+      fanout_(options_.link_megabits),
+      new_subscriptions_(replica_, subscription_barriers),
+      configuration_leases_(replica_, lease_barriers) {
     hosts_.remember(stored.hosts, now);
     for (const auto& seed : options_.seeds)
         if (seed.peer != options_.self.peer) known_[seed.peer] = seed;
@@ -135,9 +139,8 @@
 }
 
 void Node::end_subscription(LinkNumber link) {
-    waiting_.erase(link);
-    asked_for_.erase(link);
-    proven_.erase(link);
+    new_subscriptions_.remove(link);
+    configuration_leases_.remove(link);
     fanout_.left(link);
 }
 
@@ -191,7 +194,7 @@
     auto fleet = fleet_for(link, proxies_.names(), now);
     fleet.controls = controls();
     outputs_.push_back(ToLink{link, std::move(fleet)});
-    waiting_[link] = subscribe.version;
+    new_subscriptions_.add(link, subscribe.version);
     fanout_.left(link);   // until the subscription has begun
     begin_subscriptions(now);
 }
@@ -199,27 +202,32 @@
 // A proxy may have no configuration yet, or come from a node that knew a newer one: it is told what this node knows
 // once a majority has shown that this is the newest, and once this node has heard what a majority knows of the hosts.
 void Node::begin_subscriptions(Time now) {
-    if (waiting_.empty()) return;
-    if (proven_.empty() && now - barrier_at_ >= barrier_again) {
-        asked_for_.clear();
-        for (const auto& [link, version] : waiting_) asked_for_.insert(link);
-        barrier_at_ = now;
-        barrier_ = replica_.barrier(consensus::BarrierAt::committed, now).value_or(0);
-        if (!barrier_) barrier_at_ = long_ago;   // nobody leads: again as soon as there may be somebody
-    }
-    if (proven_.empty() || !knows_hosts() || told_index_ < proven_index_) return;
-    for (const auto link : std::exchange(proven_, {})) begin_subscription(link);
-    tell_configuration(now);
-    barrier_at_ = long_ago;   // those that have come meanwhile need not wait
+    new_subscriptions_.tick(now);
+    if (!knows_hosts()) return;
+    const auto proven = new_subscriptions_.take_proven(told_index_);
+    for (const auto& [link, version] : proven) begin_subscription(link, version);
+    if (!proven.empty()) tell_configuration(now);
 }
 
-void Node::begin_subscription(LinkNumber link) {
-    const auto waiting = waiting_.extract(link);
-    if (waiting.empty() || !proxies_.is_subscriber(link)) return;
-    fanout_.subscribed(link, waiting.mapped());
+void Node::begin_subscription(LinkNumber link, uint64_t version) {
+    if (!proxies_.is_subscriber(link)) return;
+    fanout_.subscribed(link, version);
     outputs_.push_back(ToLink{link, messages::HostsTold{hosts_.all(), 0, true}});
 }
 
+void Node::handle(LinkNumber link, const leases::ConfigurationLeaseAsk& ask, Time now) {
+    if (!proxies_.is_subscriber(link)) return;
+    configuration_leases_.add(link, ask.number);
+    renew_configuration_leases(now);
+}
+
+// The version that is named holds whatever was committed when the barrier was asked for, which was after the ask came.
+void Node::renew_configuration_leases(Time now) {
+    configuration_leases_.tick(now);
+    for (const auto& [link, number] : configuration_leases_.take_proven(told_index_))
+        outputs_.push_back(ToLink{link, leases::ConfigurationLeaseReply{number, fanout_.version()}});
+}
+
 bool Node::knows_hosts() const {
     auto known = hosts_from_;
     known.insert(replica_.self());
@@ -260,7 +268,7 @@
 
 void Node::tell_hosts(const std::vector<registry::Host>& hosts) {
     for (const auto link : proxies_.subscribers())
-        if (!waiting_.count(link)) outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0, false}});
+        if (!new_subscriptions_.is_waiting(link)) outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0, false}});
 }
 
 messages::FleetTold Node::fleet_for(LinkNumber link, const std::vector<std::string>& names, Time now) const {
@@ -359,6 +367,7 @@
 void Node::committed_here(const consensus::Committed& committed, Time now) {
     tell_configuration(now);
     begin_subscriptions(now);
+    renew_configuration_leases(now);
     configurations_.committed(committed.position.index, now);
     lend(now);
 }
@@ -369,11 +378,9 @@
 }
 
 void Node::barrier_passed(const consensus::BarrierPassed& passed, Time now) {
-    if (passed.number != barrier_) return configurations_.barrier_passed(passed.number, now);
-    barrier_ = 0;
-    proven_ = std::exchange(asked_for_, {});
-    proven_index_ = passed.index;
-    begin_subscriptions(now);
+    if (new_subscriptions_.passed(passed)) return begin_subscriptions(now);
+    if (configuration_leases_.passed(passed)) return renew_configuration_leases(now);
+    configurations_.barrier_passed(passed.number, now);
 }
 
 void Node::write(const consensus::Persist& persist) {
@@ -427,6 +434,7 @@
     lending_.tick(now);
     answer_waiting_asks(now);
     begin_subscriptions(now);
+    renew_configuration_leases(now);
     if (now >= proxies_at_) {
         proxies_at_ = now + proxies_every;
         tell_own_proxies(now);
--- a/src/roles/control/node.hpp
+++ b/src/roles/control/node.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "consensus/replica.hpp"
+#include "roles/control/barrier_batch.hpp"
 #include "roles/control/bounds_reached.hpp"
 #include "roles/control/configuration_fanout.hpp"
 #include "roles/control/configuration_service.hpp"
@@ -81,7 +82,9 @@
     void handle(LinkNumber link, const messages::Subscribe& subscribe, Time now);
     void handle(LinkNumber link, const leases::LeaseAsk& ask, Time now);
     void handle(LinkNumber link, const leases::LeaseReply& reply, Time now);
-    void handle(LinkNumber, const messages::ConfigurationTold&, Time) {}   // for proxies only
+    void handle(LinkNumber link, const leases::ConfigurationLeaseAsk& ask, Time now);
+    void handle(LinkNumber, const leases::ConfigurationLeaseReply&, Time) {}   // for proxies only
+    void handle(LinkNumber, const messages::ConfigurationTold&, Time) {}
     void handle(LinkNumber, const messages::FleetTold&, Time) {}
 
     void configuration_request(const HttpRequest& request, Time now);
@@ -100,7 +103,8 @@
     void note_control_node(const messages::ControlNode& node);
     void tell_configuration(Time now);
     void begin_subscriptions(Time now);   // of proxies that wait for proof of contact
-    void begin_subscription(LinkNumber link);
+    void begin_subscription(LinkNumber link, uint64_t version);
+    void renew_configuration_leases(Time now);
     messages::ProxiesTold own_proxies(bool with_names, Time now) const;
     void carry_out(Time now);   // what the replica asks for
     void barrier_passed(const consensus::BarrierPassed& passed, Time now);
@@ -136,12 +140,8 @@
     };
     std::deque<PendingWrite> pending_writes_;
     uint64_t next_write_ = 1;
-    // Subscriptions that wait for a barrier: those that were there when it was asked for are begun when it holds.
-    std::map<LinkNumber, uint64_t> waiting_;   // the version that each proxy has
-    std::set<LinkNumber> asked_for_, proven_;
-    uint64_t barrier_ = 0;        // 0: none is under way
-    uint64_t proven_index_ = 0;   // that must be told of before `proven_` are begun
-    Time barrier_at_ = long_ago;
+    BarrierBatch new_subscriptions_;      // with the version that each proxy has
+    BarrierBatch configuration_leases_;   // with the number of each proxy's newest ask
     Time hosts_at_ = long_ago;
     Time fleet_at_ = long_ago, proxies_at_ = long_ago, moves_at_ = long_ago;
     std::vector<std::string> names_told_;   // of own proxies, last
--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -40,6 +40,9 @@
       hosts_(context_, host_events()),
       services_(context_, hosts_, pool_events()),
       admission_(context_, seed, admission_events()),
+      configuration_lease_(context_.settings.revocation_bound),
+      refused_without_lease_(context_.metrics.counter("myrtleroute_refused_without_configuration_lease_total",
+                                                      "Requests with keys refused since the configuration may be old.")),
       subscription_(context_, subscription_events()),
       metrics_listener_(context_, [this] { return figures(); }),
       hosts_evicted_(bound_counter(context_.metrics, "hosts")),
@@ -116,7 +119,12 @@
             [this](const messages::HostsTold& told) { services_.hosts_told(told); },
             [this](const messages::FleetTold& told) { fleet_told(told); },
             [this](const leases::LeaseReply& reply) { admission_.apply(reply); },
-            [this](bool is_up) { admission_.connected(is_up); },
+            [this](const leases::ConfigurationLeaseReply& reply) { configuration_lease_.apply(reply); },
+            [this](bool is_up) {
+                admission_.connected(is_up);
+                configuration_lease_.connected();
+                ask_for_configuration_lease();
+            },
             [this] {
                 return context_.table ? context_.table->configuration().version : 0;
             }};
@@ -146,7 +154,10 @@
     context_.loop.round([this](uint64_t cookie) { woke(cookie); }, [this] { settle(); });
 }
 
-bool Proxy::ready() const { return !shutdown_.begun() && context_.table && services_.knows_hosts(); }
+bool Proxy::ready() const {
+    const bool knows_all = context_.table && services_.knows_hosts() && configuration_lease_.is_valid(context_.now());
+    return !shutdown_.begun() && knows_all;
+}
 
 // Clients.
 
@@ -154,7 +165,12 @@
     if (!context_.table) return front_.refuse(client, 503, refused_again);
     auto request = std::make_unique<Request>();
     request->table = context_.table;
-    if (const int status = entitle(*request, reader)) return front_.refuse(client, status);
+    const bool keys_are_current = configuration_lease_.is_valid(context_.home.now());
+    if (const int status = entitle(*request, reader, keys_are_current)) {
+        const bool may_be_old = status == 503;
+        if (may_be_old) refused_without_lease_.add();
+        return front_.refuse(client, status, may_be_old ? refused_again : Span{});
+    }
     if (!requests_.has_room(reader.content.size())) return front_.refuse(client, 503, refused_again);
     request->id = requests_.next_number();
     read_terms(*request, reader, context_.now());
@@ -297,11 +313,17 @@
         return;
     }
     context_.table = std::make_shared<routing::RouteTable>(std::get<configuration::Configuration>(std::move(checked)));
+    configuration_lease_.configured(told.version);
     admission_.configured();
     services_.configured();
     log_debug() << "configuration " << told.version << " is in force";
 }
 
+void Proxy::ask_for_configuration_lease() {
+    if (!subscription_.is_open()) return;
+    if (const auto ask = configuration_lease_.ask(context_.home.now())) subscription_.ask(*ask);
+}
+
 void Proxy::fleet_told(const messages::FleetTold& told) {
     admission_.fleet_told(told);
     context_.proxies = told.proxies;
@@ -332,6 +354,7 @@
 void Proxy::tick() {
     subscription_.tick();
     admission_.ask();
+    ask_for_configuration_lease();
     context_.loop.wake(context_.now() + tick_every * (ready() ? 1 : until_ready), tick_cookie);
     hosts_.forget_gone();
     services_.tick(requests_);
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "leases/configuration_lease.hpp"
 #include "roles/proxy/admission.hpp"
 #include "roles/proxy/context.hpp"
 #include "roles/proxy/cut_report.hpp"
@@ -50,6 +51,7 @@
 
     // The control role.
     void configured(const messages::ConfigurationTold& told);
+    void ask_for_configuration_lease();   // where an ask is due
     void fleet_told(const messages::FleetTold& told);
 
     // What the parts tell.
@@ -81,6 +83,8 @@
     Hosts hosts_;
     ServiceDirectory services_;
     Admission admission_;
+    leases::ConfigurationLease configuration_lease_;
+    metrics::Counter refused_without_lease_;
     Subscription subscription_;
     MetricsListener metrics_listener_;
     metrics::Counter hosts_evicted_;
--- a/src/roles/proxy/request_intake.cpp
+++ b/src/roles/proxy/request_intake.cpp
@@ -33,10 +33,11 @@
 
 }   // namespace
 
-int entitle(Request& request, const RequestReader& reader) {
+int entitle(Request& request, const RequestReader& reader, bool keys_are_current) {
     request.route = request.table->find(field_value(reader.fields, "Host"), reader.target);
     if (!request.route) return 404;
     if (!request.table->has_tenants()) return 0;
+    if (!keys_are_current && !request.route->is_public) return 503;
     const auto key = presented_key(reader.fields);
     if (!key.empty()) request.tenant = request.table->tenant(key);
     return request.tenant || request.route->is_public ? 0 : 401;
--- a/src/roles/proxy/subscription.cpp
+++ b/src/roles/proxy/subscription.cpp
@@ -81,7 +81,7 @@
     if (at_once) up(*link_);
 }
 
-void Subscription::ask(const leases::LeaseAsk& ask) {
+void Subscription::ask(const messages::Message& ask) {
     if (subscriber_.is_open()) send(ask);
 }
 
@@ -118,6 +118,8 @@
         events_.fleet(*fleet);
     else if (const auto* reply = std::get_if<leases::LeaseReply>(&message))
         events_.leases(*reply);
+    else if (const auto* lease = std::get_if<leases::ConfigurationLeaseReply>(&message))
+        events_.configuration_lease(*lease);
 }
 
 void Subscription::broke(Connection& connection, int) {
--- a/src/roles/proxy/subscription.hpp
+++ b/src/roles/proxy/subscription.hpp
@@ -15,6 +15,7 @@
         std::function<void(const messages::HostsTold&)> hosts;
         std::function<void(const messages::FleetTold&)> fleet;
         std::function<void(const leases::LeaseReply&)> leases;
+        std::function<void(const leases::ConfigurationLeaseReply&)> configuration_lease;
         std::function<void(bool)> connected;   // whether there is a connection to a control node now
         std::function<uint64_t()> version;     // of the configuration that this proxy has
     };
@@ -22,7 +23,8 @@
     void settings_changed();   // the seeds may be others
     void tick();               // several times a second
     void stop();
-    void ask(const leases::LeaseAsk& ask);   // at once, where there is a connection
+    bool is_open() const { return subscriber_.is_open(); }
+    void ask(const messages::Message& ask);   // at once, where there is a connection
 
     void up(memory::Connection& connection) override;
     void came(memory::Connection& connection) override;
--- /dev/null
+++ b/tests/system/configuration_lease_test.cpp
@@ -0,0 +1,244 @@
+// The lease on the configuration: the holder by itself and beside a plain model, the control node's answers, and the proxy.
+#include <doctest/doctest.h>
+
+#include <map>
+#include <vector>
+
+#include "control_node.hpp"
+#include "leases/configuration_lease.hpp"
+#include "proxy_world.hpp"
+#include "random.hpp"
+
+using namespace myrtleroute;
+using leases::ConfigurationLease;
+using leases::ConfigurationLeaseAsk;
+using leases::ConfigurationLeaseReply;
+using testing::Control;
+using testing::ProxyWorld;
+
+namespace {
+
+constexpr Span bound{5};
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}   // namespace
+
+TEST_CASE("without a bound the lease never ends and nothing is asked") {
+    ConfigurationLease lease({});
+    CHECK(lease.is_valid(Time{100}));
+    CHECK_FALSE(lease.ask(Time{100}));
+}
+
+TEST_CASE("a lease is counted from the sending of the ask, not from the arrival of the reply") {
+    ConfigurationLease lease(bound);
+    lease.configured(7);
+    CHECK_FALSE(lease.is_valid(Time{100}));
+    const auto ask = lease.ask(Time{100});
+    REQUIRE(ask);
+    CHECK_FALSE(lease.is_valid(Time{103}));
+    lease.apply({ask->number, 7});
+    CHECK(lease.is_valid(Time{104}));
+    CHECK(lease.is_valid(Time{104.7}));
+    CHECK_FALSE(lease.is_valid(Time{105}));
+}
+
+TEST_CASE("a proof of a version that is not in use counts once that or a newer one is") {
+    ConfigurationLease lease(bound);
+    lease.configured(7);
+    const auto ask = lease.ask(Time{100});
+    lease.apply({ask->number, 8});
+    CHECK_FALSE(lease.is_valid(Time{100.1}));
+    lease.configured(9);
+    CHECK(lease.is_valid(Time{100.1}));
+    CHECK_FALSE(lease.is_valid(Time{105}));
+}
+
+TEST_CASE("replies to asks of an earlier connection, doubled ones and unknown ones prove nothing") {
+    ConfigurationLease lease(bound);
+    lease.configured(7);
+    const auto first = lease.ask(Time{100});
+    lease.connected();
+    const auto second = lease.ask(Time{100});
+    REQUIRE(second);
+    CHECK(second->number > first->number);
+    lease.apply({first->number, 7});
+    lease.apply({second->number + 1, 7});
+    CHECK_FALSE(lease.is_valid(Time{100}));
+}
+
+TEST_CASE("asks are spread over the lease, and the next connection is asked at once") {
+    ConfigurationLease lease(bound);
+    CHECK(lease.ask(Time{100}));
+    CHECK_FALSE(lease.ask(Time{100.5}));
+    CHECK(lease.ask(Time{101}));
+    lease.connected();
+    CHECK(lease.ask(Time{101}));
+}
+
+// Whatever is late, lost or held up: while the lease is valid, no newer configuration was acknowledged longer than the bound ago.
+TEST_CASE("random delays of replies and configurations never leave a proxy with a key beyond the bound") {
+    Pcg chance(5);
+    size_t valid = 0, refused = 0;
+    for (int day = 0; day < 200; ++day) {
+        ConfigurationLease lease(bound);
+        std::vector<Time> acknowledged{long_ago};   // by version
+        uint64_t used = 0;
+        std::multimap<Time, ConfigurationLeaseReply> replies;
+        std::multimap<Time, uint64_t> configurations;
+        double delay = 0.1;
+        for (Time now{100}; now < Time{140}; now = now + Span{0.05}) {
+            if (chance.share() < 0.01) delay = chance.share() < 0.5 ? 0.1 : 6 * chance.share();
+            if (chance.share() < 0.02) {
+                acknowledged.push_back(now);
+                configurations.emplace(now + Span{delay * 2 * chance.share()}, acknowledged.size() - 1);
+            }
+            if (chance.share() < 0.01) lease.connected();
+            if (const auto ask = lease.ask(now)) {
+                const Time handled = now + Span{delay * chance.share()};
+                uint64_t newest = acknowledged.size() - 1;   // at least what was acknowledged when it was sent
+                if (chance.share() < 0.9) replies.emplace(handled, ConfigurationLeaseReply{ask->number, newest});
+            }
+            for (; !replies.empty() && replies.begin()->first <= now; replies.erase(replies.begin()))
+                lease.apply(replies.begin()->second);
+            for (; !configurations.empty() && configurations.begin()->first <= now;
+                 configurations.erase(configurations.begin())) {
+                used = std::max(used, configurations.begin()->second);
+                lease.configured(used);
+            }
+            const bool is_valid = lease.is_valid(now);
+            (is_valid ? valid : refused) += 1;
+            if (!is_valid || used + 1 >= acknowledged.size()) continue;
+            REQUIRE(now - acknowledged[used + 1] <= bound);
+        }
+    }
+    CHECK(valid > 1000);
+    CHECK(refused > 1000);
+}
+
+TEST_CASE("a control node answers behind a barrier with the newest version, and only its subscribers") {
+    Control control;
+    REQUIRE(control.status(control.ask("PUT", "/config", "0", testing::document(3))) == 200);
+    control.node->received(Control::proxy_link, ConfigurationLeaseAsk{1}, control.now);
+    control.carry_out();
+    CHECK(control.count_on<ConfigurationLeaseReply>(Control::proxy_link) == 0);
+    control.subscribe();
+    control.node->received(Control::proxy_link, ConfigurationLeaseAsk{2}, control.now);
+    control.pass(Span{1});
+    REQUIRE(control.count_on<ConfigurationLeaseReply>(Control::proxy_link) == 1);
+    const auto& sent = control.sent_on[Control::proxy_link];
+    const auto reply = std::find_if(sent.begin(), sent.end(), [](const auto& message) {
+        return std::holds_alternative<ConfigurationLeaseReply>(message);
+    });
+    CHECK(std::get<ConfigurationLeaseReply>(*reply) == ConfigurationLeaseReply{2, 3});
+}
+
+TEST_CASE("a control node that reaches no majority answers no ask for a lease") {
+    Control control({"10.0.0.2", "10.0.0.3"}, testing::document(3));
+    control.subscribe();
+    control.node->received(Control::proxy_link, ConfigurationLeaseAsk{1}, control.now);
+    control.pass(Span{5});
+    CHECK(control.count_on<ConfigurationLeaseReply>(Control::proxy_link) == 0);
+}
+
+namespace {
+
+// A proxy with a public route and one that asks for a key.
+struct Keyed {
+    ProxyWorld world;
+
+    explicit Keyed(bool closed)
+        : world(1, [closed](configuration::NodeSettings& settings) {
+              if (closed) settings.revocation_bound = bound;
+          }) {
+        messages::FleetTold fleet;
+        fleet.current = true;
+        world.say(fleet);
+        const std::string route = R"("timeoutMs":6000,"kind":"idempotent","service":"s","hostname":"h.example")";
+        world.say(messages::ConfigurationTold{
+            1, R"({"version":1,"services":[{"name":"s","healthCheck":"/health"}],"routes":[{"pathPrefix":"/a/",)" +
+                   route + R"(},{"pathPrefix":"/open/","public":true,)" + route +
+                   R"(}],"tenants":[{"name":"acme","apiKeys":["key-one"]}]})"});
+        world.say(messages::HostsTold{{{"i-0", "s", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1}}, 0, true});
+        world.pass(Span{0.1});
+    }
+    // The number of the newest ask that the control node has had; 0 where there is none.
+    uint64_t newest_ask() {
+        uint64_t newest = 0;
+        reader.feed(world.control.last().take());
+        while (const auto json = reader.next())
+            if (const auto message = messages::decode(*json))
+                if (const auto* ask = std::get_if<ConfigurationLeaseAsk>(&*message)) newest = ask->number;
+        return newest;
+    }
+    void prove() {
+        world.say(ConfigurationLeaseReply{newest_ask(), 1});
+        world.pass(Span{0.05});
+    }
+    void wait(Span span) {   // the control node speaks on, and says nothing of the configuration
+        for (double passed = 0; passed < span.s; passed += 0.5) {
+            messages::FleetTold fleet;
+            fleet.current = true;
+            world.say(fleet);
+            world.pass(Span{0.5});
+        }
+    }
+    std::string outcome(testing::ScriptedEnd& client, const std::string& path) {
+        const auto id = "r" + std::to_string(++requests);
+        client.send("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+                    "\r\nAuthorization: Token key-one\r\nX-Deadline-Ms: 5000\r\nContent-Length: 1\r\n\r\nx");
+        world.pass(Span{0.05});
+        if (auto* host = world.asked()) {
+            host->take();
+            host->send(ProxyWorld::answer(id, "one"));
+            world.pass(Span{0.05});
+        }
+        return client.take();
+    }
+
+    messages::FrameReader reader;
+    int requests = 0;
+};
+
+}   // namespace
+
+TEST_CASE("keys are refused with 503 until there is a lease and from its end on, on open connections too") {
+    Keyed fleet(true);
+    auto& client = fleet.world.client();
+    const auto before = fleet.outcome(client, "/a/b");
+    CHECK(contains(before, "HTTP/1.1 503 "));
+    CHECK(contains(before, "Retry-After: "));
+    fleet.prove();
+    CHECK(contains(fleet.outcome(client, "/a/b"), "HTTP/1.1 200 OK"));
+    fleet.wait(Span{3});
+    CHECK(contains(fleet.outcome(client, "/a/b"), "HTTP/1.1 200 OK"));
+    fleet.wait(Span{2});
+    CHECK(contains(fleet.outcome(client, "/a/b"), "HTTP/1.1 503 "));
+    CHECK(contains(fleet.outcome(client, "/open/b"), "HTTP/1.1 200 OK"));
+    CHECK(fleet.world.figure("myrtleroute_refused_without_configuration_lease_total") == "2");
+    fleet.prove();
+    CHECK(contains(fleet.outcome(client, "/a/b"), "HTTP/1.1 200 OK"));
+}
+
+TEST_CASE("a proxy without a lease is not ready") {
+    Keyed fleet(true);
+    const auto is_ready = [&] {
+        auto& probe = fleet.world.client(ProxyWorld::ready_port);
+        probe.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        fleet.world.pass(Span{0.05});
+        return contains(probe.take(), " 200 ");
+    };
+    CHECK_FALSE(is_ready());
+    fleet.prove();
+    CHECK(is_ready());
+    fleet.wait(Span{5.5});
+    CHECK_FALSE(is_ready());
+}
+
+TEST_CASE("where there is no bound keys are served as long as the proxy runs") {
+    Keyed fleet(false);
+    fleet.wait(Span{20});
+    CHECK(fleet.newest_ask() == 0);
+    auto& client = fleet.world.client();
+    CHECK(contains(fleet.outcome(client, "/a/b"), "HTTP/1.1 200 OK"));
+}
