Virtual world: changes by PATCH, keys taken away, and the lease on the configuration

Cause: neither PATCH nor the bound on keys was played in the virtual world. Two invariants more: revoked_keys, patch_as_modelled.

--- a/src/lab/control/callers.cpp
+++ b/src/lab/control/callers.cpp
@@ -12,7 +12,8 @@
 
 constexpr Span answer_within{1};
 constexpr int most_tries = 14, most_redirects = 2;
-constexpr double invalid_share = 0.06, reading_share = 0.25;
+constexpr double invalid_share = 0.06, reading_share = 0.25, patch_share = 0.5;
+constexpr int patched_routes = 4;   // names that patches use
 constexpr Span beat_every{1.2}, serves_on{2};
 constexpr Span proxy_tick{0.2}, proxy_hurry{0.05};
 constexpr Span lease_patience{0.2};   // of a request that waits for units
@@ -61,10 +62,33 @@
     }
     order_.base = base_;
     order_.version = base_ + 1 + static_cast<uint64_t>(chance_.below(2));   // often the other operator's number too
-    body_ = document(order_.version, chance_.number() % 100000, platform_.tenants(order_.version));
+    order_.patches = base_ > 0 && chance_.yes(patch_share);
+    body_ = order_.patches ? draw_patch()
+                           : document(order_.version, chance_.number() % 100000, platform_.tenants(order_.version));
     valid_ = !chance_.yes(invalid_share);
     if (!valid_) body_.resize(body_.size() / 2);
-    order_.body = checker_.number_of(body_);
+    order_.body = checker_.number_of_order(body_, order_.patches);
+}
+
+// One tenant as a whole document of that version would have it, a route more or another one in its place, and now and then one
+// less; whether that name is there is not known here.
+std::string Operator::draw_patch() {
+    const auto route_name = [this] {
+        return "p" + std::to_string(chance_.below(patched_routes));
+    };
+    const auto tenants = nlohmann::json::parse(platform_.tenants(order_.version));
+    nlohmann::json patch{{"version", order_.version}};
+    auto tenant = tenants[static_cast<size_t>(chance_.below(static_cast<int>(tenants.size())))];
+    tenant["note"] = chance_.number();   // so that no two patches make the same of a document
+    patch["upsert"]["tenants"] = {std::move(tenant)};
+    if (chance_.yes(0.7))
+        patch["upsert"]["routes"] = {{{"name", route_name()},
+                                      {"hostname", "h"},
+                                      {"pathPrefix", "/p" + std::to_string(chance_.number() % 100000) + "/"},
+                                      {"timeoutMs", 1000},
+                                      {"service", "s"}}};
+    if (chance_.yes(0.2)) patch["delete"]["routes"] = {route_name()};
+    return patch.dump();
 }
 
 void Operator::read_now() {
@@ -90,7 +114,7 @@
     history_.push_back(operation);
     const auto at = history_.size() - 1;
     HttpRequest request;
-    request.method = order_.reads ? "GET" : "PUT";
+    request.method = order_.reads ? "GET" : order_.patches ? "PATCH" : "PUT";
     request.path = "/config";
     if (!order_.reads) request.if_match = std::to_string(order_.base);
     request.body = body_;
@@ -116,7 +140,7 @@
     if (order_.reads) {
         operation.outcome = Operation::Outcome::read;
         operation.version = last_read_ = base_ = answer->status == 200 ? version_of(answer->body) : 0;
-        operation.body = answer->status == 200 ? checker_.number_of(answer->body) : 0;
+        operation.body = answer->status == 200 ? checker_.number_of_order(answer->body, false) : 0;
     } else if (answer->status == 200) {
         if (!valid_) checker_.breaks(Invariant::refused_stays_out, "an invalid order was confirmed");
         operation.outcome = Operation::Outcome::accepted;
@@ -226,8 +250,14 @@
 // Proxies.
 
 SubscribedProxy::SubscribedProxy(Queue& queue, Network& network, Checker& checker, ProcessId process,
+                                 std::optional<Span> revocation_bound,
                                  std::function<std::optional<ProcessId>(const Endpoint&)> find)
-    : queue_(queue), network_(network), checker_(checker), process_(process), find_(std::move(find)) {}
+    : queue_(queue),
+      network_(network),
+      checker_(checker),
+      process_(process),
+      find_(std::move(find)),
+      revocation_bound_(revocation_bound) {}
 
 void SubscribedProxy::start(const std::vector<messages::ControlNode>& seeds, uint64_t seed) {
     ++life_;
@@ -241,6 +271,7 @@
     const auto name = "edge-" + std::to_string(process_);
     subscriber_ = std::make_unique<proxy::Subscriber>(proxy::SubscriberOptions{name, "10.1.0." + name, "north", seed});
     subscriber_->add_seeds(seeds);
+    configuration_lease_ = leases::ConfigurationLease(revocation_bound_);
     leases_ = std::make_unique<leases::Holder>(leases::HolderId{name, seed}, leases::LeaseTerms{}, queue_.now());
     network_.started(process_);
     tick(life_);
@@ -261,6 +292,7 @@
     subscriber_->tick(queue_.now());
     carry_out();
     ask_for_leases();
+    ask_for_configuration_lease();
     queue_.in(proxy_tick, [this, life] { tick(life); });
 }
 
@@ -322,9 +354,9 @@
 void SubscribedProxy::request(const TenantRequest& request, std::function<void()> granted) {
     if (!runs()) return;
     do_or_wait([this, request, granted = std::move(granted)] {
-        if (!tenants_) return;   // no configuration: 503
+        if (!tenants_ || !configuration_lease_.is_valid(queue_.now())) return;   // no configuration, or an old one: 503
         const auto tenant = tenants_->find(request.tenant);
-        if (tenant == tenants_->end()) return;   // no such key: 401
+        if (tenant == tenants_->end() || tenant->second.api_keys.empty()) return;   // no such key: 401
         const auto ticket = next_ticket_++;
         const auto decision = leases_->request(request.tenant, request.cost, ticket, lease_patience, queue_.now());
         if (decision.verdict == leases::Verdict::granted) return granted();
@@ -346,6 +378,11 @@
     if (auto ask = leases_->ask(queue_.now())) network_.send(connection_, process_, std::move(*ask));
 }
 
+void SubscribedProxy::ask_for_configuration_lease() {
+    if (!subscriber_->is_open()) return;
+    if (const auto ask = configuration_lease_.ask(queue_.now())) network_.send(connection_, process_, *ask);
+}
+
 void SubscribedProxy::lease_decisions() {
     for (const auto& decided : leases_->take_decided()) {
         const auto waiting = waiting_.extract(decided.ticket);
@@ -388,6 +425,8 @@
             queue_.in(proxy_hurry, [this, life = life_] {
                 if (life == life_ && runs()) do_or_wait([this] { ask_for_leases(); });
             });
+    } else if (const auto* lease = std::get_if<leases::ConfigurationLeaseReply>(&message)) {
+        configuration_lease_.apply(*lease);
     } else if (const auto* hosts = std::get_if<messages::HostsTold>(&message)) {
         knows_hosts_ = true;
         for (const auto& host : hosts->hosts) hosts_.merge(host, queue_.now());
@@ -398,6 +437,7 @@
 void SubscribedProxy::configured(const messages::ConfigurationTold& told) {
     if (told.version <= version_) return;
     version_ = told.version;
+    configuration_lease_.configured(version_);
     tenants_ = checker_.documents().read(told.body);
 }
 
--- a/src/lab/control/callers.hpp
+++ b/src/lab/control/callers.hpp
@@ -10,6 +10,7 @@
 
 #include "lab/control/checker.hpp"
 #include "lab/control/tenants.hpp"
+#include "leases/configuration_lease.hpp"
 #include "leases/holder.hpp"
 #include "registry/host_table.hpp"
 #include "roles/proxy/subscriber.hpp"
@@ -22,6 +23,7 @@
     std::function<void(Machine&, myrtleroute::control::HttpRequest, Reply)> ask;
     std::function<Machine*(const std::string& location)> machine_at;   // of a 307
     std::function<std::string(uint64_t version)> tenants;              // of a new document
+    std::optional<Span> revocation_bound;   // for how long a key may be served after its removal; nothing: for ever
     std::function<bool()> loses_answers;                               // to operators, just now
 };
 
@@ -42,6 +44,7 @@
 private:
     void think();
     void draw_order();
+    std::string draw_patch();
     void call(Machine* machine, int redirects);
     void ended(size_t operation, const std::optional<myrtleroute::control::Answer>& answer, int redirects);
     void try_again();
@@ -89,7 +92,9 @@
 // The control side of a proxy.
 class SubscribedProxy {
 public:
+    // `revocation_bound`: for how long a key may be served after its removal; nothing: for ever.
     SubscribedProxy(Queue& queue, Network& network, Checker& checker, ProcessId process,
+                    std::optional<Span> revocation_bound,
                     std::function<std::optional<ProcessId>(const Endpoint&)> find);
     void start(const std::vector<messages::ControlNode>& seeds, uint64_t seed);
     void end();
@@ -115,6 +120,7 @@
     void take(const messages::Message& message);
     void configured(const messages::ConfigurationTold& told);
     void ask_for_leases();
+    void ask_for_configuration_lease();
     void lease_decisions();
     void do_or_wait(std::function<void()> what);   // now, or when it no longer stands still
     void thaw(uint64_t life);
@@ -132,6 +138,8 @@
     bool knows_hosts_ = false, first_told_ = false;
     // As src/roles/proxy/proxy.cpp wires them.
     std::unique_ptr<leases::Holder> leases_;
+    std::optional<Span> revocation_bound_;
+    leases::ConfigurationLease configuration_lease_{std::nullopt};
     std::map<uint64_t, std::function<void()>> waiting_;   // what is to be done once granted, by ticket
     uint64_t next_ticket_ = 1;
     std::shared_ptr<const Tenants> tenants_;   // of the configuration that it was told; null before
--- a/src/lab/control/checker.cpp
+++ b/src/lab/control/checker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lab/control/patch_model.hpp"
+
 namespace myrtleroute::lab::control {
 namespace {
 
@@ -18,8 +20,11 @@
                                  "proxy_starts_current",
                                  "nothing_lost",
                                  "agreement",
-                                 "quota"};
+                                 "quota",
+                                 "revoked_keys",
+                                 "patch_as_modelled"};
 static_assert(std::size(names) == static_cast<size_t>(Invariant::kinds));
+constexpr std::string_view patch_mark = "PATCH ";
 
 }   // namespace
 
@@ -33,6 +38,64 @@
 
 void Checker::ran(const TenantRequest& request) {
     if (const auto fault = quota_.arrived(request, queue_.now())) breaks(Invariant::quota, *fault);
+    if (!revocation_bound_) return;
+    const auto keyless = keyless_.find(request.tenant);
+    if (keyless == keyless_.end() || !keyless->second.since) return;
+    const Span beyond = request.sent - *keyless->second.since;
+    if (beyond > *revocation_bound_)
+        breaks(Invariant::revoked_keys, "a request of " + request.tenant + " ran that was sent " +
+                                            std::to_string(beyond.s) + " s after its key's removal was acknowledged");
+}
+
+// The run of versions in which a tenant has no key.
+void Checker::note_keys(uint64_t version, const std::string& document) {
+    for (const auto& [name, tenant] : *documents_.read(document)) {
+        auto& keyless = keyless_[name];
+        if (!tenant.api_keys.empty())
+            keyless = {};
+        else if (keyless.version == 0)
+            keyless.version = version;
+    }
+    note_keyless();
+}
+
+void Checker::note_keyless() {
+    for (auto& [name, keyless] : keyless_)
+        if (keyless.version > 0 && !keyless.since && newest_confirmed_ >= keyless.version)
+            keyless.since = queue_.now();
+}
+
+std::optional<std::string> Checker::result_of(const Operation& order) const {
+    if (!order.patches) return canonical(body(order.body));
+    const auto patch = nlohmann::json::parse(body(order.body).substr(patch_mark.size()), nullptr, false);
+    const auto base = committed_.find(order.base);
+    if (patch.is_discarded() || base == committed_.end()) return {};
+    const auto result = patched(nlohmann::json::parse(base->second), patch);
+    return result ? std::optional(result->dump()) : std::nullopt;
+}
+
+void Checker::resolve(std::vector<Operation>& history) {
+    for (auto& operation : history) {
+        if (operation.reads) continue;
+        const auto result = result_of(operation);
+        operation.result = result ? number_of(*result) : 0;
+        const auto committed = committed_.find(operation.version);
+        const bool is_new = operation.outcome == Operation::Outcome::accepted && operation.patches;
+        if (is_new && (!result || committed == committed_.end() || committed->second != *result))
+            breaks(Invariant::patch_as_modelled, "version " + std::to_string(operation.version) + " is not what its " +
+                                                     "patch makes of version " + std::to_string(operation.base));
+    }
+    for (const auto& order : refused_patches_) {
+        const auto result = result_of(order);
+        const auto committed = committed_.find(order.version);
+        if (result && committed != committed_.end() && committed->second == *result)
+            breaks(Invariant::refused_stays_out,
+                   "version " + std::to_string(order.version) + " was refused as a patch and is committed");
+    }
+}
+
+uint64_t Checker::number_of_order(const std::string& body, bool patches) {
+    return number_of(patches ? std::string(patch_mark) + body : canonical(body));
 }
 
 uint64_t Checker::number_of(const std::string& body) {
@@ -56,12 +119,16 @@
     looked_at = entry->position.index;
     const auto version = entry->state.version;
     if (version == 0) return;
-    const auto [known, fresh] = committed_.try_emplace(version, entry->state.configuration);
-    if (fresh) quota_.limits().applied(version, documents_.read(entry->state.configuration));
-    if (!fresh && known->second != entry->state.configuration)
+    const auto document = canonical(entry->state.configuration);
+    const auto [known, fresh] = committed_.try_emplace(version, document);
+    if (fresh) {
+        quota_.limits().applied(version, documents_.read(entry->state.configuration));
+        note_keys(version, entry->state.configuration);
+    }
+    if (!fresh && known->second != document)
         breaks(Invariant::one_body_a_version, "version " + std::to_string(version) + " was committed with two bodies");
     const auto refused = refused_.find(version);
-    if (refused != refused_.end() && refused->second.count(entry->state.configuration))
+    if (refused != refused_.end() && refused->second.count(document))
         breaks(Invariant::refused_stays_out, "version " + std::to_string(version) + " was refused and is committed");
 }
 
@@ -99,6 +166,7 @@
     confirmed_bodies_.insert(order.body);
     if (order.version <= newest_confirmed_) return;   // sent again
     newest_confirmed_ = order.version;
+    note_keyless();
     quota_.limits().acknowledged(order.version, queue_.now());
     const auto copies = copies_made(order.version, machines);
     if (copies < tolerated_ + 1)
@@ -110,6 +178,7 @@
     if (confirmed_bodies_.count(order.body))
         breaks(Invariant::confirmed_again,
                "version " + std::to_string(order.version) + " was confirmed and is refused");
+    if (order.patches) return refused_patches_.push_back(order);   // what it would have made is known at the end
     const auto& text = body(order.body);
     refused_[order.version].insert(text);
     const auto committed = committed_.find(order.version);
--- a/src/lab/control/checker.hpp
+++ b/src/lab/control/checker.hpp
@@ -28,6 +28,8 @@
     nothing_lost,                // at the end the newest confirmed configuration, or a newer one, is read
     agreement,                   // at the end, within a stated time
     quota,                       // of tenants, at the hosts, in every window
+    revoked_keys,                // a request runs that was sent too long after its key's removal was acknowledged
+    patch_as_modelled,           // what a change of named items makes of its base
     kinds
 };
 constexpr size_t invariant_kinds = static_cast<size_t>(Invariant::kinds);
@@ -41,7 +43,9 @@
 
 class Checker {
 public:
-    Checker(const Queue& queue, size_t tolerated) : queue_(queue), tolerated_(tolerated) {}
+    // `revocation_bound`: for how long a key may be served after its removal; nothing: for ever.
+    Checker(const Queue& queue, size_t tolerated, std::optional<Span> revocation_bound)
+        : queue_(queue), tolerated_(tolerated), revocation_bound_(revocation_bound) {}
 
     void acted(const Machine& machine);   // after everything that a node does
     // An order was confirmed by a machine; `machines` are all whose disks count.
@@ -56,6 +60,8 @@
     void before_a_loss(const std::vector<const Machine*>& machines);
     void breaks(Invariant invariant, const std::string& what);
     void ran(const TenantRequest& request);   // it has arrived at a host
+    // At the end: what the orders of a history make of their bases, as a plain model has it.
+    void resolve(std::vector<Operation>& history);
     // Proxies that are in touch now, of so many.
     void in_touch(const std::set<size_t>& proxies, size_t of) { quota_.limits().in_touch(proxies, of, queue_.now()); }
     double fullest_window() const { return quota_.fullest(); }
@@ -71,21 +77,31 @@
 
 private:
     static bool holds(const Machine& machine, uint64_t version);
+    void note_keys(uint64_t version, const std::string& document);
+    void note_keyless();
+    std::optional<std::string> result_of(const Operation& order) const;
     size_t copies_of(uint64_t version, const std::vector<const Machine*>& machines) const;
     size_t copies_made(uint64_t version, const std::vector<const Machine*>& machines) const;
 
     const Queue& queue_;
     size_t tolerated_;
+    std::optional<Span> revocation_bound_;
+    struct Keyless {
+        uint64_t version = 0;        // committed since which the tenant has had no key; 0 = it has one
+        std::optional<Time> since;   // when that, or a later one, was acknowledged
+    };
+    std::map<std::string, Keyless> keyless_;   // by tenant
     std::optional<Break> broken_;
     std::array<size_t, invariant_kinds> violations_{};
     TenantDocuments documents_;
     QuotaChecker quota_;
     std::map<uint64_t, consensus::ReplicaId> leaders_;   // by term
-    std::map<uint64_t, std::string> committed_;          // bodies by version
+    std::map<uint64_t, std::string> committed_;          // whole documents by version, in their canonical form
     std::map<uint64_t, uint64_t> confirmed_;             // numbers of bodies by version
     std::set<uint64_t> confirmed_bodies_;
     std::map<ProcessId, uint64_t> looked_at_;                              // index of the entry
-    std::map<uint64_t, std::set<std::string>> refused_;                    // bodies by version
+    std::map<uint64_t, std::set<std::string>> refused_;                    // whole documents by version
+    std::vector<Operation> refused_patches_;
     std::map<std::string, std::pair<registry::HostState, Time>> drains_;   // hosts that were acknowledged
     uint64_t newest_confirmed_ = 0;
     std::map<ProcessId, uint64_t> on_lost_disks_;   // the newest version that a machine's last disk held
@@ -93,6 +109,7 @@
 public:
     // Bodies have numbers, so that histories are small.
     uint64_t number_of(const std::string& body);
+    uint64_t number_of_order(const std::string& body, bool patches);
     const std::string& body(uint64_t number) const { return bodies_.at(number - 1); }
 
 private:
--- a/src/lab/control/history.cpp
+++ b/src/lab/control/history.cpp
@@ -22,10 +22,10 @@
         if (operation.outcome == Outcome::old)
             return !known && operation.base == version && operation.version <= version;
         if (known) return operation.outcome == Outcome::accepted;
-        if (operation.base != version || operation.version <= version) return false;
+        if (operation.base != version || operation.version <= version || operation.result == 0) return false;
         version = operation.version;
-        body = operation.body;
-        accepted.insert(body);
+        body = operation.result;
+        accepted.insert(operation.body);
         return true;
     }
 };
--- a/src/lab/control/history.hpp
+++ b/src/lab/control/history.hpp
@@ -16,6 +16,8 @@
     uint64_t base = 0;      // of an order: the version that it builds on
     uint64_t version = 0;   // of an order: its own; of a reading: the one that was answered
     uint64_t body = 0;      // of an order or what a reading was answered: number of the body
+    bool patches = false;   // an order that changes named items
+    uint64_t result = 0;    // of an order: number of the whole that it makes of its base; 0 = nothing valid
     Time invoked, answered;
     Outcome outcome = Outcome::open;   // open: no clear answer came; it may have taken effect, then or never
 };
--- a/src/lab/control/plan.cpp
+++ b/src/lab/control/plan.cpp
@@ -103,6 +103,7 @@
     std::sort(plan.faults.begin(), plan.faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
     plan.surges = draw_surges(seed, plan.length);
     plan.limits_change = seed % 2 == 0;
+    plan.revokes = seed % 4 >= 2;
     if (plan.orderly) plan.closing = draw_closing(seed);
     return plan;
 }
@@ -121,6 +122,7 @@
         text << "  " << surge.at << " s  tenant " << surge.tenant << " asks for " << surge.factor
              << " times its usual for " << surge.span << " s\n";
     if (!plan.limits_change) text << "  limits of tenants stay\n";
+    if (plan.revokes) text << "  keys are taken away\n";
     if (plan.closing)
         text << "  at the end disks are lost, " << (plan.closing->oldest_disks ? "the oldest" : "by lot")
              << (plan.closing->acknowledger ? ", that of the last acknowledgement first" : "")
--- a/src/lab/control/plan.hpp
+++ b/src/lab/control/plan.hpp
@@ -83,6 +83,7 @@
     std::vector<Fault> faults;
     std::vector<Surge> surges;
     bool limits_change = true;   // of tenants, from version to version
+    bool revokes = false;        // keys are taken away, and must not be served for longer than a bound
     std::optional<Closing> closing;
 };
 
--- a/src/lab/control/tenants.cpp
+++ b/src/lab/control/tenants.cpp
@@ -11,7 +11,8 @@
 namespace myrtleroute::lab::control {
 namespace {
 
-constexpr uint64_t traffic_stream = 0x54454e41, limits_stream = 0x4c494d49;
+constexpr uint64_t traffic_stream = 0x54454e41, limits_stream = 0x4c494d49, keys_stream = 0x4b455953;
+constexpr double keyless_share = 0.2;   // of the versions, for each tenant
 constexpr std::array<double, tenant_count> usual_rates{80000, 150000, 250000};   // limits, tokens a second
 constexpr double limit_to_demand = 1.3;
 constexpr double least_burst = 1, most_burst = 1.6;   // seconds of the rate
@@ -52,16 +53,19 @@
 
 std::string tenant_name(size_t number) { return "tenant-" + std::to_string(number); }
 
-std::string tenants_text(uint64_t seed, uint64_t version, bool limits_change) {
+std::string tenants_text(uint64_t seed, uint64_t version, TenantChanges changes) {
     auto tenants = nlohmann::json::array();
     for (size_t i = 0; i < tenant_count; ++i) {
         Chance usual(seed, limits_stream + i);
         const double burst = usual.between(least_burst, most_burst);
         Chance chance(seed, limits_stream + tenant_count + i + (version / versions_alike) * tenant_count);
-        const double change = limits_change ? std::pow(most_change, chance.between(-1, 1)) : 1;
+        const double change = changes.limits ? std::pow(most_change, chance.between(-1, 1)) : 1;
         const double rate = std::round(usual_rates[i] * change);
+        auto keys = nlohmann::json::array();
+        Chance revoked(seed, keys_stream + i + version * tenant_count);
+        if (!changes.keys || !revoked.yes(keyless_share)) keys.push_back("key-" + std::to_string(i));
         tenants.push_back({{"name", tenant_name(i)},
-                           {"apiKeys", {"key-" + std::to_string(i)}},
+                           {"apiKeys", std::move(keys)},
                            {"unit", "token_rate"},
                            {"ratePerS", rate},
                            {"burst", std::round(rate * burst)}});
--- a/src/lab/control/tenants.hpp
+++ b/src/lab/control/tenants.hpp
@@ -20,8 +20,11 @@
 std::string tenant_name(size_t number);
 
 // The `tenants` member of a document. Limits stay for a few versions; then, where they change at all, each tenant's is
-// drawn anew, up to four times as high or as low as its usual one.
-std::string tenants_text(uint64_t seed, uint64_t version, bool limits_change);
+// drawn anew, up to four times as high or as low as its usual one. Where keys are taken away, now and then one has none.
+struct TenantChanges {
+    bool limits = true, keys = false;
+};
+std::string tenants_text(uint64_t seed, uint64_t version, TenantChanges changes);
 
 using Tenants = std::map<std::string, configuration::Tenant>;   // by name
 
--- a/src/lab/control/world.cpp
+++ b/src/lab/control/world.cpp
@@ -20,6 +20,7 @@
 constexpr Span wait_turn{0.5}, watch_every{0.5}, watch_contact_every{0.25};
 constexpr Span settle{12}, answer_settle{4};   // after the last fault: until all agree, and then until the last answers
 constexpr double slow_disk = 30;
+constexpr Span revocation_bound{5};
 constexpr Span closing_within{2};    // without an acknowledgement the day is closed then all the same
 constexpr Span longest_closing{6};   // from the end of the plan until all are back
 
@@ -30,7 +31,7 @@
       trace_(std::move(trace)),
       queue_(dawn),
       chance_(plan.seed, world_stream),
-      checker_(queue_, plan.tolerated) {
+      checker_(queue_, plan.tolerated, plan.revokes ? std::optional(revocation_bound) : std::nullopt) {
     Network::Events events;
     events.opened = [this](ProcessId process, ConnectionId connection) {
         if (process >= first_proxy) return proxies_[process - first_proxy]->opened(connection);
@@ -65,8 +66,9 @@
         return nullptr;
     };
     platform_.tenants = [this](uint64_t version) {
-        return tenants_text(plan_.seed, version, plan_.limits_change);
+        return tenants_text(plan_.seed, version, {plan_.limits_change, plan_.revokes});
     };
+    if (plan_.revokes) platform_.revocation_bound = revocation_bound;
     platform_.loses_answers = [this] {
         return queue_.now() < answers_lost_until_;
     };
@@ -118,7 +120,8 @@
         const auto find = [this](const Endpoint& peer) {
             return process_at(peer);
         };
-        proxies_.push_back(std::make_unique<SubscribedProxy>(queue_, *network_, checker_, first_proxy + i, find));
+        proxies_.push_back(std::make_unique<SubscribedProxy>(queue_, *network_, checker_, first_proxy + i,
+                                                             platform_.revocation_bound, find));
         proxies_.back()->start(seeds(), chance_.number());
     }
     contact_since_.assign(proxies, queue_.now());
@@ -152,6 +155,7 @@
     while (!checker_.ends_the_day() && queue_.step(end)) {
     }
     if (!checker_.ends_the_day()) {
+        checker_.resolve(history_);
         const auto verdict = check_history(history_);
         if (verdict == Verdict::broken) checker_.breaks(Invariant::linearizable, "no register gives these answers");
         outcome_.undecided += verdict == Verdict::undecided;
@@ -403,7 +407,8 @@
                      const myrtleroute::control::Answer& answer) {
     note(by.settings().node_name + " answers " + request.method + " " + request.path + " " +
          std::to_string(answer.status));
-    if (request.method == "PUT" && request.path == "/config") return order_answered(by, request.body, answer);
+    const bool orders = request.method == "PUT" || request.method == "PATCH";
+    if (orders && request.path == "/config") return order_answered(by, request, answer);
     constexpr std::string_view instances = "/instances/";
     if (answer.status != 200 || !request.path.starts_with(instances)) return;
     const bool leaves = request.method == "DELETE";
@@ -413,10 +418,13 @@
     acknowledged(by);
 }
 
-void World::order_answered(Machine& by, const std::string& body, const myrtleroute::control::Answer& answer) {
+void World::order_answered(Machine& by, const myrtleroute::control::HttpRequest& request,
+                           const myrtleroute::control::Answer& answer) {
     Operation order;
-    order.version = version_of(body);
-    order.body = checker_.number_of(body);
+    order.version = version_of(request.body);
+    order.base = std::stoull(request.if_match);
+    order.patches = request.method == "PATCH";
+    order.body = checker_.number_of_order(request.body, order.patches);
     if (answer.status == 200) {
         checker_.confirmed(order, disks());
         return acknowledged(by);
--- a/src/lab/control/world.hpp
+++ b/src/lab/control/world.hpp
@@ -64,7 +64,8 @@
     size_t lost() const;
     void answered(Machine& by, const myrtleroute::control::HttpRequest& request,
                   const myrtleroute::control::Answer& answer);
-    void order_answered(Machine& by, const std::string& body, const myrtleroute::control::Answer& answer);
+    void order_answered(Machine& by, const myrtleroute::control::HttpRequest& request,
+                        const myrtleroute::control::Answer& answer);
     void acknowledged(Machine& by);   // faults that wait for this strike
     void check_drains();
     void watch_drains();
--- a/tests/system/patch_test.cpp
+++ b/tests/system/patch_test.cpp
@@ -1,9 +1,8 @@
 // Changes of a configuration by named items, compared with a plain model; and orders of both kinds at a control node.
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,6 +10,7 @@
 
 #include "configuration/patch.hpp"
 #include "control_node.hpp"
+#include "lab/control/patch_model.hpp"
 #include "random.hpp"
 
 using namespace myrtleroute;
@@ -35,7 +35,7 @@
             {"tenants", {tenant("t1", "k1"), tenant("t2", "k2")}}};
 }
 
-json patched(const json& current, const json& patch) {
+json applied(const json& current, const json& patch) {
     const auto checked = apply_patch(current.is_null() ? "" : current.dump(), patch.dump());
     const auto* result = std::get_if<Patched>(&checked);
     REQUIRE(result);
@@ -52,61 +52,6 @@
     return all;
 }
 
-// The operators' words, one after the other, without an index or a copy of the parts: nothing where the result is no valid
-// configuration.
-class PlainModel {
-public:
-    static std::optional<json> apply(json document, const json& patch) {
-        std::set<std::pair<std::string, std::string>> used;
-        for (const std::string list : {"routes", "services", "tenants"}) {
-            if (patch.contains("delete"))
-                for (const auto& name : patch["delete"].value(list, json::array())) {
-                    if (!used.insert({list, name}).second || count(document, list, name) != 1) return {};
-                    auto& items = document[list];
-                    items.erase(std::find_if(items.begin(), items.end(),
-                                             [&](const json& item) { return item.value("name", "") == name; }));
-                }
-            if (patch.contains("upsert"))
-                for (const auto& item : patch["upsert"].value(list, json::array())) {
-                    const auto name = item.value("name", "");
-                    if (name.empty() || !used.insert({list, name}).second || count(document, list, name) > 1) return {};
-                    auto& items = document[list];
-                    const auto known = std::find_if(items.begin(), items.end(),
-                                                    [&](const json& old) { return old.value("name", "") == name; });
-                    if (known != items.end())
-                        *known = item;
-                    else
-                        items.push_back(item);
-                }
-        }
-        document["version"] = patch.at("version");
-        return is_valid(document) ? std::optional(document) : std::nullopt;
-    }
-
-private:
-    static size_t count(const json& document, const std::string& list, const std::string& name) {
-        size_t found = 0;
-        for (const auto& item : document.value(list, json::array())) found += item.value("name", "") == name;
-        return found;
-    }
-    static bool is_valid(const json& document) {
-        std::set<std::string> services, prefixes;
-        std::map<std::string, std::string> keys;
-        for (const auto& service : document["services"]) services.insert(service["name"]);
-        for (const auto& route : document["routes"]) {
-            if (!services.count(route["service"])) return false;
-            if (!prefixes.insert(route["pathPrefix"]).second) return false;
-            if (route["timeoutMs"] == 0) return false;
-        }
-        for (const auto& tenant : document.value("tenants", json::array()))
-            for (const auto& key : tenant["apiKeys"]) {
-                const auto [known, fresh] = keys.emplace(key, tenant["name"]);
-                if (!fresh && known->second != tenant["name"]) return false;
-            }
-        return true;
-    }
-};
-
 std::string any_of(Pcg& chance, const char* letter, uint32_t most) {
     return letter + std::to_string(static_cast<uint32_t>(chance.share() * most));
 }
@@ -138,18 +83,18 @@
     expected["version"] = 9;
     expected["routes"] = {route("r1", "/c/", "s2"), route("r2", "/b/", "s2"), route("r3", "/a/", "s1")};
     expected["tenants"] = json::array({tenant("t2", "k2")});
-    CHECK(patched(base_document(), patch) == expected);
+    CHECK(applied(base_document(), patch) == expected);
 }
 
 TEST_CASE("a patch may build on nothing, name nothing, or bring the first items of a list") {
     const json whole{{"version", 1},
                      {"upsert", {{"services", {{{"name", "s1"}}}}, {"routes", {route("r1", "/a/", "s1")}}}}};
-    const auto first = patched(json(), whole);
+    const auto first = applied(json(), whole);
     CHECK(first["routes"].size() == 1);
     auto later = first;
     later["version"] = 2;
-    CHECK(patched(first, {{"version", 2}}) == later);
-    CHECK(patched(first, {{"version", 2}, {"upsert", {{"tenants", {tenant("t1", "k1")}}}}})["tenants"].size() == 1);
+    CHECK(applied(first, {{"version", 2}}) == later);
+    CHECK(applied(first, {{"version", 2}, {"upsert", {{"tenants", {tenant("t1", "k1")}}}}})["tenants"].size() == 1);
 }
 
 TEST_CASE("what is wrong with a patch is told with its place there") {
@@ -201,7 +146,7 @@
         auto document = base_document();
         for (uint64_t version = 8; version < 60; ++version) {
             const auto patch = random_patch(chance, version);
-            const auto expected = PlainModel::apply(document, patch);
+            const auto expected = lab::control::patched(document, patch);
             const auto checked = apply_patch(document.dump(), patch.dump());
             CAPTURE(document.dump());
             CAPTURE(patch.dump());
@@ -227,7 +172,7 @@
     CHECK(control.status(control.ask("PATCH", "/config", "7", patch.dump())) == 200);
     CHECK(control.configuration_told() == 9);
     const auto whole = json::parse(control.body(control.ask("GET", "/config")));
-    CHECK(whole == *PlainModel::apply(base_document(), patch));
+    CHECK(whole == *lab::control::patched(base_document(), patch));
     CHECK(control.status(control.ask("PATCH", "/config", "7", patch.dump())) == 200);   // sent again
     CHECK(control.status(control.ask("PATCH", "/config", "9", R"({"version":9})")) == 400);
     CHECK(control.status(control.ask("PATCH", "/config", "9", R"({"version":10,"upsert":)")) == 400);
@@ -293,7 +238,7 @@
             if (!parsed.is_discarded() && parsed.at("version") >= 1) {
                 json empty{{"version", 0}, {"routes", json::array()}, {"services", json::array()}};
                 result = order.method == "PUT" ? std::optional(parsed)
-                                               : PlainModel::apply(current.is_null() ? empty : current, parsed);
+                                               : lab::control::patched(current.is_null() ? empty : current, parsed);
             }
             const bool taken = builds_on_current && result && (*result)["version"] > version;
             const int status = control.status(control.ask(order.method, "/config", order.if_match, order.body));
