--- a/src/configuration/schema.cpp
+++ b/src/configuration/schema.cpp
@@ -71,9 +71,9 @@
 
 std::string configuration_schema() {
     return std::string(R"({"type": "object", "required": ["version", "routes", "services"], "properties": {)") +
-           version_schema + R"(, "routes": )" + list_of(route_schema) + R"(, "services": )" +
-           list_of(service_schema) + R"(, "limits": )" + limits_schema + R"(, "tenants": )" +
-           list_of(tenant_schema, R"(["array", "null"])") + "}}";
+           version_schema + R"(, "routes": )" + list_of(route_schema) + R"(, "services": )" + list_of(service_schema) +
+           R"(, "limits": )" + limits_schema + R"(, "tenants": )" + list_of(tenant_schema, R"(["array", "null"])") +
+           "}}";
 }
 
 std::string patch_schema() {
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -54,8 +54,7 @@
 
 void Replica::on(const ReplicaId& from, const ReadRequest& request, Time now) {
     if (role_ != Role::leader || request.term != hard_.term || barriers_.size() >= most_barriers) return;
-    const auto confirmed_by =
-        begin_round(request.patient ? BarrierRound::next_heartbeat : BarrierRound::at_once, now);
+    const auto confirmed_by = begin_round(request.patient ? BarrierRound::next_heartbeat : BarrierRound::at_once, now);
     barriers_.push_back({request.number, confirmed_by, std::max(committed_, own_term_index_), from});
     pass_barriers();
 }
--- a/src/consensus/types.hpp
+++ b/src/consensus/types.hpp
@@ -100,9 +100,9 @@
 
 // Asks the leader how far the log was committed when it was asked (the dissertation's 6.4, for followers).
 struct ReadRequest {
-    uint64_t term = 0;     // of the leader that is meant
-    uint64_t number = 0;   // of the sender's barrier
-    bool patient = false;  // the leader's next regular round is soon enough
+    uint64_t term = 0;      // of the leader that is meant
+    uint64_t number = 0;    // of the sender's barrier
+    bool patient = false;   // the leader's next regular round is soon enough
     bool operator==(const ReadRequest&) const = default;
 };
 
--- a/src/lab/control/callers.hpp
+++ b/src/lab/control/callers.hpp
@@ -24,7 +24,7 @@
     std::function<Machine*(const std::string& location)> machine_at;   // of a 307
     std::function<std::string(uint64_t version)> tenants;              // of a new document
     std::optional<Span> revocation_bound;   // for how long a key may be served after its removal; nothing: for ever
-    std::function<bool()> loses_answers;                               // to operators, just now
+    std::function<bool()> loses_answers;    // to operators, just now
 };
 
 // The version that a configuration's text names; 0 where it is none.
--- a/src/lab/control/checker.cpp
+++ b/src/lab/control/checker.cpp
@@ -61,8 +61,7 @@
 
 void Checker::note_keyless() {
     for (auto& [name, keyless] : keyless_)
-        if (keyless.version > 0 && !keyless.since && newest_confirmed_ >= keyless.version)
-            keyless.since = queue_.now();
+        if (keyless.version > 0 && !keyless.since && newest_confirmed_ >= keyless.version) keyless.since = queue_.now();
 }
 
 std::optional<std::string> Checker::result_of(const Operation& order) const {
--- a/src/lab/control/checker.hpp
+++ b/src/lab/control/checker.hpp
@@ -99,8 +99,8 @@
     std::map<uint64_t, std::string> committed_;          // whole documents by version, in their canonical form
     std::map<uint64_t, uint64_t> confirmed_;             // numbers of bodies by version
     std::set<uint64_t> confirmed_bodies_;
-    std::map<ProcessId, uint64_t> looked_at_;                              // index of the entry
-    std::map<uint64_t, std::set<std::string>> refused_;                    // whole documents by version
+    std::map<ProcessId, uint64_t> looked_at_;             // index of the entry
+    std::map<uint64_t, std::set<std::string>> refused_;   // whole documents by version
     std::vector<Operation> refused_patches_;
     std::map<std::string, std::pair<registry::HostState, Time>> drains_;   // hosts that were acknowledged
     uint64_t newest_confirmed_ = 0;
--- a/src/lab/control/tenants.cpp
+++ b/src/lab/control/tenants.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr uint64_t traffic_stream = 0x54454e41, limits_stream = 0x4c494d49, keys_stream = 0x4b455953;
-constexpr double keyless_share = 0.2;   // of the versions, for each tenant
+constexpr double keyless_share = 0.35;      // of the spans of versions, for each tenant
+constexpr uint64_t versions_keyless = 14;   // a key stays away for so many
 constexpr std::array<double, tenant_count> usual_rates{80000, 150000, 250000};   // limits, tokens a second
 constexpr double limit_to_demand = 1.3;
 constexpr double least_burst = 1, most_burst = 1.6;   // seconds of the rate
@@ -62,7 +63,7 @@
         const double change = changes.limits ? std::pow(most_change, chance.between(-1, 1)) : 1;
         const double rate = std::round(usual_rates[i] * change);
         auto keys = nlohmann::json::array();
-        Chance revoked(seed, keys_stream + i + version * tenant_count);
+        Chance revoked(seed, keys_stream + i + (version / versions_keyless) * tenant_count);
         if (!changes.keys || !revoked.yes(keyless_share)) keys.push_back("key-" + std::to_string(i));
         tenants.push_back({{"name", tenant_name(i)},
                            {"apiKeys", std::move(keys)},
--- a/src/roles/control/configuration_service.cpp
+++ b/src/roles/control/configuration_service.cpp
@@ -16,7 +16,7 @@
 constexpr Span patience{2.5};            // an order is left without a clear answer after this
 constexpr size_t most_accepted = 1024;   // configurations that are recognised when sent again
 
-constexpr size_t most_document = 4 << 20;   // bytes; a record on disk holds it with its escapes
+constexpr size_t most_document = 4 << 20;            // bytes; a record on disk holds it with its escapes
 constexpr std::string_view patch_mark = "PATCH\n";   // a patch is never taken for a whole configuration sent again
 
 std::string digest(std::string_view text) {
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -12,7 +12,7 @@
 // New subscriptions wait for traffic; leases are asked for well before they end.
 constexpr BarrierBatchOptions subscription_barriers{consensus::BarrierRound::at_once, Span{0.2}, Span{}};
 constexpr BarrierBatchOptions lease_barriers{consensus::BarrierRound::next_heartbeat, Span{0.5}, Span{0.25}};
-constexpr size_t most_known = 64;    // control nodes
+constexpr size_t most_known = 64;   // control nodes
 constexpr size_t most_waiting_asks = 4096;
 constexpr double weight_unknown = 1000;   // Mbit/s, of a link of which nothing is known
 constexpr std::string_view instances = "/instances/";
@@ -268,7 +268,8 @@
 
 void Node::tell_hosts(const std::vector<registry::Host>& hosts) {
     for (const auto link : proxies_.subscribers())
-        if (!new_subscriptions_.is_waiting(link)) outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0, false}});
+        if (!new_subscriptions_.is_waiting(link))
+            outputs_.push_back(ToLink{link, messages::HostsTold{hosts, 0, false}});
 }
 
 messages::FleetTold Node::fleet_for(LinkNumber link, const std::vector<std::string>& names, Time now) const {
--- a/src/roles/control/peer_network.cpp
+++ b/src/roles/control/peer_network.cpp
@@ -14,7 +14,10 @@
 using std::chrono::steady_clock;
 
 constexpr int unacknowledged_ms = 1500;   // then the other end counts as dead
-constexpr std::chrono::milliseconds redial_after{100}, connect_within{1000};
+constexpr std::chrono::milliseconds redial_after{100};
+// A connection that does not come up is given up after this, longer each time until one does: a machine that starts a moment
+// later than this one says nothing, and the system tries again only after a second.
+constexpr std::chrono::milliseconds least_connect_within{200}, most_connect_within{1000};
 
 void set_options(tcp::socket& socket) {
     asio::error_code ignored;
@@ -136,6 +139,7 @@
         if (dialed.connection && !dialed.up && now > dialed.give_up) {
             dialed.connection->close();
             dialed.connection.reset();
+            dialed.connect_within = std::min(dialed.connect_within * 2, most_connect_within);
         }
         if (!dialed.connection && now >= dialed.next_try) dial(peer, dialed);
     }
@@ -143,7 +147,8 @@
 
 void PeerNetwork::dial(const Endpoint& peer, Dialed& dialed) {
     dialed.next_try = steady_clock::now() + redial_after;
-    dialed.give_up = steady_clock::now() + connect_within;
+    dialed.connect_within = std::max(dialed.connect_within, least_connect_within);
+    dialed.give_up = steady_clock::now() + dialed.connect_within;
     dialed.up = false;
     auto connection = std::make_shared<FramedConnection>(tcp::socket(context_));
     dialed.connection = connection;
@@ -165,6 +170,7 @@
             return;
         }
         it->second.up = true;
+        it->second.connect_within = least_connect_within;
         log_info() << "connected to the control node at " << peer.text();
         connection->start();
         events_.connected(peer);
--- a/src/roles/control/peer_network.hpp
+++ b/src/roles/control/peer_network.hpp
@@ -63,6 +63,7 @@
         std::shared_ptr<FramedConnection> connection;
         bool up = false;
         std::chrono::steady_clock::time_point next_try{}, give_up{};
+        std::chrono::milliseconds connect_within{};   // of the attempt under way, or the last one
     };
     void accept();
     void dial(const Endpoint& peer, Dialed& dialed);
--- a/src/roles/proxy/subscriber.cpp
+++ b/src/roles/proxy/subscriber.cpp
@@ -6,7 +6,9 @@
 namespace {
 
 constexpr Span silent_after{1.2};   // control nodes speak several times a second
-constexpr Span open_within{0.6};
+// A connection that does not come up is given up after this, longer each time until one does: a machine without power, or one
+// that starts a moment later than this one, says nothing, and the system tries again only after a second.
+constexpr Span least_open_within{0.2}, most_open_within{1};
 // A node without a majority is left after this, if another one may have one; longer each time until one has.
 constexpr Span least_patience{0.5}, most_patience{2};
 constexpr double longer = 2;
@@ -15,7 +17,10 @@
 }   // namespace
 
 Subscriber::Subscriber(SubscriberOptions options)
-    : options_(std::move(options)), chance_(options_.seed), patience_(least_patience) {}
+    : options_(std::move(options)),
+      chance_(options_.seed),
+      open_within_(least_open_within),
+      patience_(least_patience) {}
 
 void Subscriber::add_seeds(const std::vector<messages::ControlNode>& seeds) {
     for (const auto& seed : seeds) know(seed);
@@ -43,6 +48,7 @@
 void Subscriber::opened(uint64_t version, Time now) {
     if (link_ != Link::opening) return;
     link_ = Link::open;
+    open_within_ = least_open_within;
     heard_ = now;
     outputs_.push_back(SendOnLink{messages::Subscribe{options_.node, version, options_.zone}});
 }
@@ -88,8 +94,11 @@
 }
 
 void Subscriber::tick(Time now) {
-    if (link_ != Link::none && now - heard_ > (link_ == Link::opening ? open_within : silent_after))
+    if (link_ == Link::opening && now - heard_ > open_within_) {
+        open_within_ = std::min(open_within_ * longer, most_open_within);
         leave(memory::Why::silent, now);
+    }
+    if (link_ == Link::open && now - heard_ > silent_after) leave(memory::Why::silent, now);
     const bool out_of_touch = out_of_touch_since_ > long_ago && now - out_of_touch_since_ > patience_;
     if (link_ != Link::none && out_of_touch) {
         nodes_[at_].failed = now;
--- a/src/roles/proxy/subscriber.hpp
+++ b/src/roles/proxy/subscriber.hpp
@@ -80,6 +80,7 @@
     Link link_ = Link::none;
     Endpoint at_;
     Time heard_ = long_ago, out_of_touch_since_ = long_ago;
+    Span open_within_;
     Span patience_;   // with a node that is out of touch; longer each time that one was left for it
     uint64_t words_ = 0, forgotten_ = 0;
 };
--- a/tests/system/configuration_lease_test.cpp
+++ b/tests/system/configuration_lease_test.cpp
@@ -159,7 +159,8 @@
             1, R"({"version":1,"services":[{"name":"s","healthCheck":"/health"}],"routes":[{"pathPrefix":"/a/",)" +
                    route + R"(},{"pathPrefix":"/open/","public":true,)" + route +
                    R"(}],"tenants":[{"name":"acme","apiKeys":["key-one"]}]})"});
-        world.say(messages::HostsTold{{{"i-0", "s", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1}}, 0, true});
+        world.say(
+            messages::HostsTold{{{"i-0", "s", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1}}, 0, true});
         world.pass(Span{0.1});
     }
     // The number of the newest ask that the control node has had; 0 where there is none.
--- a/tests/system/patch_test.cpp
+++ b/tests/system/patch_test.cpp
@@ -57,7 +57,8 @@
 }
 
 json random_item(Pcg& chance, const std::string& list) {
-    if (list == "services") return {{"name", any_of(chance, "s", 4)}, {"maxConnections", static_cast<int>(chance.share() * 9)}};
+    if (list == "services")
+        return {{"name", any_of(chance, "s", 4)}, {"maxConnections", static_cast<int>(chance.share() * 9)}};
     if (list == "tenants") return tenant(any_of(chance, "t", 5), any_of(chance, "k", 8));
     auto item = route(any_of(chance, "r", 6), "/" + any_of(chance, "p", 9) + "/", any_of(chance, "s", 4));
     if (chance.share() < 0.03) item["timeoutMs"] = 0;
@@ -123,8 +124,9 @@
     CHECK(places(remove("routes", {"r1", "r9"})) == "/delete/routes/1");
     CHECK(places(remove("routes", {"r1", "r1"})) == "/delete/routes/1");
     CHECK(places(remove("services", {"s2"})) == "/routes/1");   // a route that stays names it
-    CHECK(places({{"version", 9}, {"upsert", {{"tenants", {tenant("t1", "k9")}}}}, {"delete", {{"tenants", {"t1"}}}}}) ==
-          "/upsert/tenants/0/name");
+    CHECK(
+        places({{"version", 9}, {"upsert", {{"tenants", {tenant("t1", "k9")}}}}, {"delete", {{"tenants", {"t1"}}}}}) ==
+        "/upsert/tenants/0/name");
     CHECK(places({{"upsert", json::object()}}) == "/");
     const auto cut_short = apply_patch(base_document().dump(), R"({"version":9,"upsert":{"rou)");
     REQUIRE(cut_short.index() == 1);
--- a/tests/system/subscriber_test.cpp
+++ b/tests/system/subscriber_test.cpp
@@ -92,6 +92,21 @@
     CHECK(world.opened.size() == before + 1);   // as soon as the first time
 }
 
+TEST_CASE("a connection that does not come up is given up soon, and later each time") {
+    Subscriber subscriber({"edge-1", "10.0.0.9", "north", 1});
+    subscriber.add_seeds({{{"10.0.0.1", 7500}, {"10.0.0.1", 8367}, ""}});
+    std::vector<double> opened;
+    for (Time now{100}; now < Time{106}; now = now + Span{0.05}) {
+        subscriber.tick(now);
+        for (const auto& output : subscriber.take_outputs())
+            if (std::holds_alternative<OpenLink>(output)) opened.push_back((now - Time{100}).s);
+    }
+    REQUIRE(opened.size() >= 5);
+    CHECK(opened[1] - opened[0] < 0.3);
+    CHECK(opened[2] - opened[1] > opened[1] - opened[0]);
+    CHECK(opened.back() - opened[opened.size() - 2] <= 1.1);
+}
+
 TEST_CASE("a proxy moves where its control node says, and stays where it is if that one has just failed") {
     World world({node(1)});
     world.hear(fleet(true));
