--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -14,6 +14,7 @@
 constexpr uint64_t tick_cookie = 1ULL << 62;   // pools' are below 2^61
 constexpr int exit_fault = 2;
 constexpr Span refused_again{0.2};
+constexpr Span usual_start{1};    // from the start of a process until it knows the configuration and the hosts
 constexpr Span come_back{0.02};   // a request that this process would not live to answer may go to another one at once
 constexpr Span shutdown_every{0.05};
 
@@ -41,8 +42,9 @@
       services_(context_, hosts_, pool_events()),
       admission_(context_, seed, admission_events()),
       configuration_lease_(context_.settings.revocation_bound),
-      refused_without_lease_(context_.metrics.counter("myrtleroute_refused_without_configuration_lease_total",
-                                                      "Requests with keys refused since the configuration may be old.")),
+      refused_without_lease_(
+          context_.metrics.counter("myrtleroute_refused_without_configuration_lease_total",
+                                   "Requests with keys refused since the configuration may be old.")),
       subscription_(context_, subscription_events()),
       metrics_listener_(context_, [this] { return figures(); }),
       hosts_evicted_(bound_counter(context_.metrics, "hosts")),
@@ -162,14 +164,14 @@
 // Clients.
 
 void Proxy::arrived(Client& client, RequestReader& reader) {
-    if (!context_.table) return front_.refuse(client, 503, refused_again);
+    if (!context_.table) return front_.refuse(client, 503, until_started());
     auto request = std::make_unique<Request>();
     request->table = context_.table;
     const bool keys_are_current = configuration_lease_.is_valid(context_.home.now());
     if (const int status = entitle(*request, reader, keys_are_current)) {
         const bool may_be_old = status == 503;
         if (may_be_old) refused_without_lease_.add();
-        return front_.refuse(client, status, may_be_old ? refused_again : Span{});
+        return front_.refuse(client, status, may_be_old ? until_started() : Span{});
     }
     if (!requests_.has_room(reader.content.size())) return front_.refuse(client, 503, refused_again);
     request->id = requests_.next_number();
@@ -185,6 +187,9 @@
     admission_.wait();
 }
 
+// When a client may come back that is refused since this process knows too little yet, or no longer enough.
+Span Proxy::until_started() const { return std::max(refused_again, usual_start - (context_.now() - context_.started)); }
+
 // A stream may take until its deadline, and once it has begun it can't be ended otherwise than by cutting it. What is not
 // a stream gets a failure at the end, where its host has not answered by then.
 bool Proxy::outlasts_process(const Request& request) const {
--- a/src/roles/proxy/proxy.hpp
+++ b/src/roles/proxy/proxy.hpp
@@ -74,6 +74,7 @@
     void end();                                  // answers that are not whole are cut
     void log_progress(const char* step) const;   // of the stop
     bool ready() const;
+    Span until_started() const;
 
     Context context_;
     std::function<std::optional<configuration::NodeSettings>()> reread_;
--- a/tests/system/proxy_test.cpp
+++ b/tests/system/proxy_test.cpp
@@ -98,6 +98,27 @@
     CHECK(world.is_over());
 }
 
+TEST_CASE("a proxy that has just started tells clients to come back when it will know enough, later ones sooner") {
+    ProxyWorld world;
+    const auto come_back = [&] {
+        auto& client = world.client();
+        client.send(ProxyWorld::request("idempotent", "r1"));
+        world.pass(Span{0.02});
+        const auto answer = client.take();
+        CHECK(contains(answer, "HTTP/1.1 503 "));
+        const std::string field = "Retry-After: ";
+        const auto at = answer.find(field);
+        return at == answer.npos ? 0 : std::stod(answer.substr(at + field.size()));
+    };
+    const double at_start = come_back();
+    CHECK(at_start > 0.7);
+    CHECK(at_start <= 1);
+    world.pass(Span{0.5});
+    CHECK(come_back() == doctest::Approx(at_start - 0.5).epsilon(0.2));
+    world.pass(Span{2});
+    CHECK(come_back() == doctest::Approx(0.2));
+}
+
 TEST_CASE("an answer that comes before its request has been read whole ends that connection") {
     ProxyWorld world(1);
     world.tell(routes);
