Bounds on a client's requests are those in force when the request begins

Change: each request is read within the limits in force as it begins (Front::begin_reading). Measured: protocol_test, a connection older than the configuration; the bodies of 100,000 bytes there are above the bound of before.

--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -108,14 +108,7 @@
             }
             return;
         }
-        wire::HttpLimits limits;
-        if (context_.table) {
-            const auto& configured = context_.table->configuration().limits;
-            limits.line = limits.head = configured.header_bytes;
-            limits.body = configured.body_bytes;
-        }
-        auto& client =
-            context_.loop.adopt(std::make_unique<Client>(*this, fd, limits, most_in, most_out, listener.probes));
+        auto& client = context_.loop.adopt(std::make_unique<Client>(*this, fd, most_in, most_out, listener.probes));
         clients_.insert(&client);
         ++open_;
         rest(client);
@@ -131,11 +124,22 @@
     read(client);
 }
 
+configuration::Limits Front::limits() const {
+    return context_.table ? context_.table->configuration().limits : configuration::Limits{};
+}
+
+// A connection may be older than the configuration: each request is read within the limits in force as it begins.
+void Front::begin_reading(Client& client) {
+    const auto limits = this->limits();
+    client.http = wire::HttpMachine(wire::HttpMachine::Side::ask, client.reader,
+                                    {limits.header_bytes, limits.header_bytes, limits.body_bytes});
+    context_.loop.set(client, context_.now() + limits.header_timeout);
+}
+
 void Front::read(Client& client) {
     while (client.open() && !client.busy && !client.last && !client.in.empty()) {
-        const auto& limits = context_.table ? context_.table->configuration().limits : configuration::Limits{};
         const bool fresh = !client.http.begun(), in_head = !client.reader.head_done;
-        if (fresh) context_.loop.set(client, context_.now() + limits.header_timeout);
+        if (fresh) begin_reading(client);
         client.in.drop(client.http.feed(client.in.front()));
         if (in_head && client.reader.head_done) context_.loop.set(client, context_.now() + body_within);
         if (client.http.fault()) {
@@ -175,9 +179,7 @@
     return "Connection: keep-alive\r\nKeep-Alive: timeout=" + seconds + "\r\n";
 }
 
-Span Front::idle_limit() const {
-    return context_.table ? context_.table->configuration().limits.idle_timeout : configuration::Limits{}.idle_timeout;
-}
+Span Front::idle_limit() const { return limits().idle_timeout; }
 
 void Front::answer(Client& client, int status, const std::vector<Field>& fields, std::string_view body) {
     client.last = client.last || stopping_;
--- a/src/roles/proxy/front.hpp
+++ b/src/roles/proxy/front.hpp
@@ -67,6 +67,8 @@
     bool is_listener(const memory::Connection& connection) const;
     void accept(Listener& listener);
     void read(Client& client);
+    void begin_reading(Client& client);   // of a request
+    configuration::Limits limits() const;
     void begin_request(Client& client);   // it has to be answered from now on
     void take(Client& client);
     std::string connection_fields(Client& client) const;
@@ -89,8 +91,8 @@
 };
 
 struct Client : memory::Connection {
-    Client(memory::Owner& by, int fd, wire::HttpLimits limits, size_t most_in, size_t most_out, bool probe)
-        : Connection(by, fd, most_in, most_out), http(wire::HttpMachine::Side::ask, reader, limits), is_probe(probe) {
+    Client(memory::Owner& by, int fd, size_t most_in, size_t most_out, bool probe)
+        : Connection(by, fd, most_in, most_out), http(wire::HttpMachine::Side::ask, reader), is_probe(probe) {
         hears_leaving = true;
     }
     std::string name() const override { return "client"; }
--- a/tests/system/protocol_test.cpp
+++ b/tests/system/protocol_test.cpp
@@ -83,6 +83,34 @@
     CHECK_FALSE(contains(seen, "X-Tenant-Id"));
 }
 
+TEST_CASE(
+    "bounds on requests are those of the configuration in force when a request begins, on older connections too") {
+    ProxyWorld world(1);
+    auto& client = world.client();   // before there is a configuration
+    world.say(with_tenants());
+    world.say(messages::HostsTold{{{"i-0", "s", "10.9.0.1:80", "north", 8, registry::HostState::ready, 1}}});
+    world.pass(Span{0.1});
+    const auto answer_to = [&](size_t body) {
+        client.send(Fleet::request("/open/b", "", std::string(body, 'b')));
+        world.pass(Span{0.05});
+        if (auto* host = world.asked()) {
+            host->take();
+            host->send(ProxyWorld::answer("r1", "one"));
+            world.pass(Span{0.05});
+        }
+        return client.take();
+    };
+    CHECK(contains(answer_to(4000), "HTTP/1.1 200 "));
+    auto wider = with_tenants();
+    wider.version = 2;
+    wider.body.replace(wider.body.find("\"version\":1"), 11, "\"version\":2");
+    wider.body.replace(wider.body.find("\"maxBodyBytes\":5000"), 19, "\"maxBodyBytes\":500000");
+    world.say(wider);
+    world.pass(Span{0.1});
+    CHECK(contains(answer_to(100000), "HTTP/1.1 200 "));
+    CHECK(contains(answer_to(500001), "HTTP/1.1 413 "));
+}
+
 TEST_CASE("a request's rank is its tenant's, else its route's, never what the client says") {
     Fleet fleet;
     const auto of_tenant = fleet.at_host(Fleet::request("/a/b", "Authorization: Token key-one\r\nPriority: 0\r\n"));
