Soak: half of the changes of limits come by PATCH; the virtual world's proxies ask for the lease as they connect

Cause: real processes were never sent a patch by the soak; in the virtual world a lease was asked for at the next tick only. Change: Operator::draw_order; what is read back is compared as JSON. SubscribedProxy::opened asks as the program does.

--- a/src/lab/control/callers.cpp
+++ b/src/lab/control/callers.cpp
@@ -330,6 +330,8 @@
         carry_out();
         leases_->connected(true);
         ask_for_leases();
+        configuration_lease_.connected();
+        ask_for_configuration_lease();
     });
 }
 
--- a/src/soak/operator.cpp
+++ b/src/soak/operator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 #include "soak/clients.hpp"
 #include "soak/timing.hpp"
@@ -17,6 +18,7 @@
 constexpr int most_redirects = 2;
 constexpr int timeout_ms = 3000, long_timeout_ms = 12000;   // of routes
 constexpr uint64_t most_version_step = 3;
+constexpr double patch_share = 0.5;   // of the orders that change limits alone
 
 std::string number(double value) { return std::to_string(static_cast<int64_t>(value)); }
 
@@ -35,6 +37,13 @@
            R"(,"burst":)" + number(limit.burst) + "}";
 }
 
+std::string tenants_json(const Limits& limits) {
+    std::string list;
+    for (const auto& tenant : tenants())
+        list += (list.empty() ? "" : ",") + tenant_json(tenant, limits.at(tenant.name));
+    return list;
+}
+
 constexpr const char* services_json =
     R"([{"name":"plain","healthCheck":"/health","maxConnections":500},{"name":"model","healthCheck":"/health",)"
     R"("maxConnections":500,"engine":{"capacity":64,"kvCapacityTokens":1000000,"models":[{"name":"m"}]}}])";
@@ -42,10 +51,8 @@
 }   // namespace
 
 std::string configuration_text(uint64_t version, const Limits& limits, bool varied) {
-    std::string route_list, tenant_list, services = services_json, rest;
+    std::string route_list, tenant_list = tenants_json(limits), services = services_json, rest;
     for (const auto& route : routes) route_list += (route_list.empty() ? "" : ",") + route_json(route);
-    for (const auto& tenant : tenants())
-        tenant_list += (tenant_list.empty() ? "" : ",") + tenant_json(tenant, limits.at(tenant.name));
     if (varied) {
         const auto n = std::to_string(version);
         route_list += R"(,{"name":"w","hostname":"w.example","pathPrefix":"/w)" + n + R"(/","kind":"idempotent",)" +
@@ -61,6 +68,10 @@
            R"(,"tenants":[)" + tenant_list + "]" + rest + "}";
 }
 
+std::string patch_text(uint64_t version, const Limits& limits) {
+    return R"({"version":)" + std::to_string(version) + R"(,"upsert":{"tenants":[)" + tenants_json(limits) + "]}}";
+}
+
 Operator::Operator(asio::io_context& context, Checker& checker, std::vector<Endpoint> controls, uint64_t seed,
                    std::function<double()> now, OperatorEvents events, Pace pace)
     : context_(context),
@@ -84,17 +95,24 @@
             limits_[tenant.name] = {std::floor(tenant.limit.rate * factor), std::floor(tenant.limit.burst * factor)};
     }
     version_ += 1 + static_cast<uint64_t>(chance_.below(static_cast<int>(most_version_step)));
-    bodies_[version_] = configuration_text(version_, limits_, pace_ == Pace::storm);
+    draw_order();
     checker_.configuration_sent(version_, limits_, now_());
     events_.note("configuration " + std::to_string(version_) + " is sent");
     send_again();
 }
 
+void Operator::draw_order() {
+    const bool all_parts = pace_ == Pace::storm;
+    bodies_[version_] = configuration_text(version_, limits_, all_parts);
+    const bool patches = acknowledged_ > 0 && !all_parts && chance_.yes(patch_share);
+    method_ = patches ? "PATCH" : "PUT";
+    order_ = patches ? patch_text(version_, limits_) : bodies_[version_];
+}
+
 void Operator::send(size_t control, int redirects) {
     const auto& to = controls_[control];
-    const auto text =
-        request_text("PUT", "/config", to.text(),
-                     {{"If-Match", std::to_string(acknowledged_)}, {"Connection", "close"}}, bodies_[version_]);
+    const auto text = request_text(method_, "/config", to.text(),
+                                   {{"If-Match", std::to_string(acknowledged_)}, {"Connection", "close"}}, order_);
     start_call(context_, {to, text, patience, {}, [this, redirects](const HttpReply& reply) {
                               answered(reply, redirects);
                           }});
@@ -159,8 +177,9 @@
 
 // What is read must be what was acknowledged last, or what was sent after it.
 void Operator::judge_reading(const HttpReply& reply) {
-    const auto read =
-        std::find_if(bodies_.begin(), bodies_.end(), [&](const auto& known) { return known.second == reply.body; });
+    const auto document = nlohmann::json::parse(reply.body, nullptr, false);
+    const auto read = std::find_if(bodies_.begin(), bodies_.end(),
+                                   [&](const auto& known) { return nlohmann::json::parse(known.second) == document; });
     if (read == bodies_.end())
         checker_.report(Rule::lost, now_(), "the configuration read back is none that was sent");
     else if (read->first < acknowledged_)
--- a/src/soak/operator.hpp
+++ b/src/soak/operator.hpp
@@ -18,6 +18,9 @@
 // others in every version; so is the time for which connections may rest.
 std::string configuration_text(uint64_t version, const Limits& limits, bool varied = false);
 
+// The same where all but the limits is as in the version before: a change of the tenants alone.
+std::string patch_text(uint64_t version, const Limits& limits);
+
 // What the operator tells of its orders.
 struct OperatorEvents {
     std::function<void(uint64_t version)> acknowledged;
@@ -38,6 +41,7 @@
 private:
     void send(size_t control, int redirects);
     void answered(const HttpReply& reply, int redirects);
+    void draw_order();   // the next version, whole or as a change of the one before
     void acknowledged();
     double pause_between();   // changes, in seconds
     void read(size_t control, int redirects);
@@ -57,7 +61,8 @@
     asio::steady_timer timer_;
     Limits limits_;
     uint64_t version_ = 0, acknowledged_ = 0;   // sent and acknowledged last
-    std::map<uint64_t, std::string> bodies_;    // by version
+    std::map<uint64_t, std::string> bodies_;    // whole, by version
+    std::string method_, order_;                // as the order that is sent goes over the wire
     bool stops_ = false;                        // no further change
     std::function<void()> read_done_;
 };
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -1,10 +1,13 @@
 // Parts of the soak by themselves: its plan, its counting and judging. Nothing here sleeps or opens a socket.
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 #include "configuration/configuration.hpp"
 #include "lab/chance.hpp"
+#include "configuration/patch.hpp"
 #include "soak/checker.hpp"
 #include "soak/clients.hpp"
 #include "soak/hosts.hpp"
@@ -49,6 +52,18 @@
 
 }   // namespace
 
+TEST_CASE("a change of the tenants alone makes the whole of the next version") {
+    Limits before, after;
+    for (const auto& tenant : tenants()) {
+        before[tenant.name] = tenant.limit;
+        after[tenant.name] = {tenant.limit.rate / 2, tenant.limit.burst * 2};
+    }
+    const auto checked = configuration::apply_patch(configuration_text(3, before), patch_text(5, after));
+    REQUIRE(checked.index() == 0);
+    const auto& result = std::get<configuration::Patched>(checked);
+    CHECK(nlohmann::json::parse(result.document) == nlohmann::json::parse(configuration_text(5, after)));
+}
+
 TEST_CASE("a seed gives one plan, another seed another") {
     CHECK(draw_plan(7, {}, length).faults == draw_plan(7, {}, length).faults);
     CHECK(draw_plan(7, {}, length).faults != draw_plan(8, {}, length).faults);
