--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -1,13 +1,12 @@
 // Parts of the soak by themselves: its plan, its counting and judging. Nothing here sleeps or opens a socket.
 #include <doctest/doctest.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "configuration/configuration.hpp"
-#include "lab/chance.hpp"
 #include "configuration/patch.hpp"
+#include "lab/chance.hpp"
 #include "soak/checker.hpp"
 #include "soak/clients.hpp"
 #include "soak/hosts.hpp"
