--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -5,18 +5,21 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <charconv>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 #include "rig/process.hpp"
+#include "wire/text.hpp"
 
 namespace myrtleroute::soak {
 namespace {
 
 constexpr double grace = 8;             // seconds from SIGTERM to SIGKILL
 constexpr double restart_after = 0.2;   // of a process that has ended
-constexpr double hears_after = 0.1;     // from its start: the program it is to run has begun, and acts on signals
+constexpr double begins_after = 0.1;    // from its start: it is no copy of the soak any more
 constexpr size_t seeds = 3;
 constexpr size_t machine_group = 0, advertised_group = 1, host_group = 2;
 constexpr uint16_t lock_port = 7499;
@@ -101,8 +104,26 @@
            "\nbounds.quotaSlack=" + std::to_string(options_.quota_slack) + "\n";
 }
 
-bool Fleet::hears_signals(const Process& process, double now) {
-    return process.pid && now >= process.started_at + hears_after;
+bool handles_signal(std::string_view status, int number) {
+    constexpr std::string_view masks[] = {"SigBlk:", "SigIgn:", "SigCgt:"};   // hexadecimal, the lowest bit is signal 1
+    for (const auto name : masks) {
+        const auto at = status.find(name);
+        if (at == status.npos) continue;
+        const auto digits = wire::trim(status.substr(at + name.size(), status.find('\n', at) - at - name.size()));
+        uint64_t mask = 0;
+        std::from_chars(digits.data(), digits.data() + digits.size(), mask, 16);
+        if (mask >> (number - 1) & 1) return true;
+    }
+    return false;
+}
+
+// A signal that comes before the program has got as far as to handle it would end the process, however long that takes on a
+// busy machine; a service manager waits for its word that it is ready.
+bool Fleet::hears(const Process& process, int signal, double now) {
+    if (!process.pid || now < process.started_at + begins_after) return false;
+    std::ifstream file("/proc/" + std::to_string(process.pid) + "/status");
+    const std::string status{std::istreambuf_iterator<char>(file), {}};
+    return handles_signal(status, signal);
 }
 
 void Fleet::launch(Process& process, double now) {
@@ -155,7 +176,7 @@
 
 void Fleet::stop(Role role, size_t machine, double now) {
     auto& stopped = process(role, machine);
-    if (!hears_signals(stopped, now) || stopped.told_to_end) return;
+    if (!hears(stopped, SIGTERM, now) || stopped.told_to_end) return;
     stopped.told_to_end = true;
     stopped.kill_at = now + grace;
     ::kill(stopped.pid, SIGTERM);
@@ -169,7 +190,7 @@
 
 void Fleet::hang_up(Role role, size_t machine, double now) {
     const auto& told = process(role, machine);
-    if (hears_signals(told, now)) ::kill(told.pid, SIGHUP);
+    if (hears(told, SIGHUP, now)) ::kill(told.pid, SIGHUP);
 }
 
 // The disk is emptied once nothing writes to it any more.
--- a/src/soak/fleet.hpp
+++ b/src/soak/fleet.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.hpp"
@@ -57,6 +58,9 @@
     double quota_over = 0.1, quota_slack = 50000, quota_window = 8;
 };
 
+// Whether a process whose /proc/PID/status this is handles, ignores or holds back that signal; else it would be ended by it.
+bool handles_signal(std::string_view status, int number);
+
 class Fleet {
 public:
     // `own_end`: a process has ended that nobody was to end.
@@ -88,7 +92,7 @@
         std::string name;
     };
     Process& process(Role role, size_t machine);
-    static bool hears_signals(const Process& process, double now);
+    static bool hears(const Process& process, int signal, double now);
     void launch(Process& process, double now);
     void reap(double now);
     std::string settings(const Process& process) const;
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <csignal>
 #include <nlohmann/json.hpp>
 
 #include "configuration/configuration.hpp"
@@ -9,6 +10,7 @@
 #include "lab/chance.hpp"
 #include "soak/checker.hpp"
 #include "soak/clients.hpp"
+#include "soak/fleet.hpp"
 #include "soak/hosts.hpp"
 #include "soak/operator.hpp"
 #include "soak/plan.hpp"
@@ -51,6 +53,26 @@
 
 }   // namespace
 
+TEST_CASE("a process handles a signal that it catches, ignores or holds back, and no other") {
+    const std::string before_main =
+        "Name:\tmyrtlerouted\nSigQ:\t1/2\nSigBlk:\t0000000000000000\n"
+        "SigIgn:\t0000000000000000\nSigCgt:\t0000000180000000\n";
+    CHECK_FALSE(handles_signal(before_main, SIGHUP));
+    CHECK_FALSE(handles_signal(before_main, SIGTERM));
+    auto ignores = before_main, catches = before_main, holds = before_main;
+    ignores.replace(ignores.find("SigIgn:\t") + 8, 16, "0000000000001001");
+    catches.replace(catches.find("SigCgt:\t") + 8, 16, "0000000180004003");
+    holds.replace(holds.find("SigBlk:\t") + 8, 16, "0000000000004001");
+    CHECK(handles_signal(ignores, SIGHUP));
+    CHECK_FALSE(handles_signal(ignores, SIGTERM));
+    for (const auto& status : {catches, holds}) {
+        CHECK(handles_signal(status, SIGHUP));
+        CHECK(handles_signal(status, SIGTERM));
+        CHECK_FALSE(handles_signal(status, SIGUSR1));
+    }
+    CHECK_FALSE(handles_signal("", SIGHUP));
+}
+
 TEST_CASE("a change of the tenants alone makes the whole of the next version") {
     Limits before, after;
     for (const auto& tenant : tenants()) {
