Control nodes tell what they spend their time on, and their standing among the voters

Change: counters and time by kind of work, a line for each second that was mostly busy or had a late tick; a line for each change of standing.

--- a/src/roles/control/peer_network.cpp
+++ b/src/roles/control/peer_network.cpp
@@ -46,8 +46,9 @@
         if (error) return self->closed();
         self->reader_.feed({self->buffer_.data(), n});
         while (auto json = self->reader_.next()) {
+            const auto began = steady_clock::now();
             auto message = messages::decode(*json);
-            if (message && self->on_message) self->on_message(*message);
+            if (message && self->on_message) self->on_message(*message, began);
             if (self->closed_) return;
         }
         if (self->reader_.broken()) return self->closed();
@@ -110,8 +111,8 @@
         if (!error) {
             const auto number = next_link_++;
             auto connection = std::make_shared<FramedConnection>(std::move(socket));
-            connection->on_message = [this, number](const messages::Message& message) {
-                events_.received(number, message);
+            connection->on_message = [this, number](const messages::Message& message, steady_clock::time_point began) {
+                events_.received(number, message, began);
             };
             connection->on_overflow = [this] {
                 ++slow_readers_;
--- a/src/roles/control/peer_network.hpp
+++ b/src/roles/control/peer_network.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <asio.hpp>
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
@@ -20,7 +21,8 @@
     static constexpr size_t most_queued = 40 << 20;   // bytes; a reader that slow is given up
 
     explicit FramedConnection(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {}
-    std::function<void(const messages::Message&)> on_message;
+    std::function<void(const messages::Message&, std::chrono::steady_clock::time_point began)>
+        on_message;                      // to be read
     std::function<void()> on_overflow;   // before `on_closed`
     std::function<void()> on_closed;
 
@@ -45,7 +47,8 @@
 class PeerNetwork {
 public:
     struct Events {
-        std::function<void(LinkNumber, const messages::Message&)> received;
+        // `began`: when the message's bytes began to be read.
+        std::function<void(LinkNumber, const messages::Message&, std::chrono::steady_clock::time_point began)> received;
         std::function<void(LinkNumber)> link_closed;
         std::function<void(const Endpoint&)> connected;
     };
--- a/src/roles/control/runtime.cpp
+++ b/src/roles/control/runtime.cpp
@@ -15,7 +15,9 @@
 #include "roles/control/metrics_server.hpp"
 #include "roles/control/node.hpp"
 #include "roles/control/peer_network.hpp"
+#include "roles/control/standing_log.hpp"
 #include "roles/control/start.hpp"
+#include "roles/control/work_report.hpp"
 #include "roles/log.hpp"
 #include "storage/posix_files.hpp"
 
@@ -27,7 +29,10 @@
 constexpr size_t ring_files = 3;
 constexpr int exit_fault = 2;
 
-Time now() { return {std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count()}; }
+Time at(std::chrono::steady_clock::time_point moment) {
+    return {std::chrono::duration<double>(moment.time_since_epoch()).count()};
+}
+Time now() { return at(std::chrono::steady_clock::now()); }
 
 uint64_t random_number() {
     std::random_device source;
@@ -40,9 +45,11 @@
         : settings_(settings),
           signals_(context_, SIGTERM, SIGINT, SIGHUP),
           timer_(context_),
-          network_(context_, {[this](LinkNumber link, const messages::Message& message) {
+          network_(context_, {[this](LinkNumber link, const messages::Message& message,
+                                     std::chrono::steady_clock::time_point began) {
                                   node_->received(link, message, now());
                                   carry_out();
+                                  work_.note(work_kind(message), now() - at(began));
                               },
                               [this](LinkNumber link) { node_->link_closed(link, now()); },
                               [this](const Endpoint& peer) {
@@ -79,8 +86,10 @@
             [this](const HttpRequest& request) {
                 if (request.method == "PUT" && request.path == "/config")
                     orders_[request.number] = "on top of " + request.if_match;
-                node_->request(request, now());
+                const auto began = now();
+                node_->request(request, began);
                 carry_out();
+                work_.note(WorkKind::requests, now() - began);
             },
             [this](const std::string& reason) {
                 log_error() << "listen.control: can't listen at " << settings_.control->text() << ": " << reason;
@@ -125,8 +134,10 @@
     }
 
     void persisted(uint64_t number) {
-        node_->persisted(number, now());
+        const auto began = now();
+        node_->persisted(number, began);
         carry_out();
+        work_.note(WorkKind::writes, now() - began);
     }
 
     void carry_out() {
@@ -160,9 +171,15 @@
     }
 
     void tick() {
-        node_->tick(now());
+        const auto began = now();
+        if (const auto line = work_.tick(began, Span{std::chrono::duration<double>(tick_every).count()}))
+            log_info() << *line;
+        node_->tick(began);
         carry_out();
         network_.keep_connected(node_->peers());
+        for (const auto& line : standing_.changes(standing_of(node_->replica(), node_->lending().lends(), began)))
+            log_info() << line;
+        work_.note(WorkKind::ticks, now() - began);
         timer_.expires_after(tick_every);
         timer_.async_wait([this](asio::error_code error) {
             if (!error) tick();
@@ -198,6 +215,8 @@
     std::unique_ptr<HttpApi> http_;
     metrics::Registry registry_;
     NodeFigures figures_{registry_};
+    WorkReport work_{registry_};
+    StandingLog standing_;
     std::unique_ptr<MetricsServer> metrics_;   // null: the settings name no address for figures
     std::unique_ptr<DiskWriter> disk_;
     std::map<RequestNumber, std::string> orders_;   // that wait for their answer, for the log
--- a/tests/system/bounds_test.cpp
+++ b/tests/system/bounds_test.cpp
@@ -299,7 +299,8 @@
     asio::io_context context;
     size_t closed = 0;
     control::PeerNetwork network(
-        context, {[](control::LinkNumber, const messages::Message&) {}, [&](control::LinkNumber) { ++closed; },
+        context, {[](control::LinkNumber, const messages::Message&, std::chrono::steady_clock::time_point) {},
+                  [&](control::LinkNumber) { ++closed; },
                   [](const Endpoint&) {
                   }});
     asio::ip::tcp::acceptor free_port(context, {asio::ip::make_address("127.0.0.1"), 0});
