A proxy has one ask under way while requests wait for its reply

Cause: each request that came while a reply was late sent another ask, after 0.03 s; only the reply to the newest is taken, so each made the one before worthless. Asks grew with the leader's lateness, and requests were refused whose clients came back at once: the state fed itself. Class: retries without back-pressure. Change: requests that come while others wait for a reply wait for the next ask. An ask that nobody waits for, or one to an earlier allocator, is superseded as before.

--- a/src/leases/holder.cpp
+++ b/src/leases/holder.cpp
@@ -8,14 +8,14 @@
 namespace myrtleroute::leases {
 namespace {
 
-constexpr Span averaged{2};                                // demand
-constexpr Span ask_every{0.25}, ask_unchanged{0.5};        // the latter: nothing was used since
-constexpr Span hurry_every{0.04};                          // where more asks are wanted at once
-constexpr Span supersede_after{0.03};                      // by an ask for requests that wait: the reply is late
-constexpr Span most_reply_within{0.8};                     // that an unanswered ask is waited for
-constexpr double longer = 1.5;                             // each time that none has come
-constexpr Span unanswered{0.1};                            // then requests that come don't wait for an answer
-constexpr Span silent{0.8};                                // without a reply for so long, requests don't wait for one
+constexpr Span averaged{2};                           // demand
+constexpr Span ask_every{0.25}, ask_unchanged{0.5};   // the latter: nothing was used since
+constexpr Span hurry_every{0.04};                     // where more asks are wanted at once
+constexpr Span supersede_after{0.03};    // of an ask that nobody waits for, or of one to an earlier allocator
+constexpr Span most_reply_within{0.8};   // that an unanswered ask is waited for
+constexpr double longer = 1.5;           // each time that none has come
+constexpr Span unanswered{0.1};          // then requests that come don't wait for an answer
+constexpr Span silent{0.8};              // without a reply for so long, requests don't wait for one
 constexpr size_t most_waiting = 64, most_tenants = 8192;   // the former: of a tenant
 constexpr double much_more = 1.1;                          // than the target: then the rest is returned
 constexpr double hopeless = 1.5;                           // overload at which coming back soon is of no use
@@ -194,14 +194,18 @@
         changed = changed || lease.changed;
         urgent = urgent || (!lease.waiting.empty() && lease.waiting.back().asked_with == 0);
     }
+    // Only the reply to the newest ask is taken. While requests wait for the reply to one, those that come later must not send
+    // another: before an allocator that is late each would make the one before worthless, and asks would grow with its lateness.
+    const bool may_supersede = ask_at_once_ || (urgent && !asked_for_waiting_);
     if (asked_at_ > long_ago &&
-        now - asked_at_ < (urgent || ask_at_once_ ? std::min(supersede_after, reply_within_) : reply_within_))
+        now - asked_at_ < (may_supersede ? std::min(supersede_after, reply_within_) : reply_within_))
         return {};
     if (ask_at_once_ && now - last_ask_ < hurry_every) return {};
     if (!urgent && !ask_at_once_ && now - last_ask_ < (changed ? ask_every : ask_unchanged)) return {};
     ask_at_once_ = false;
     LeaseAsk ask{id_, ++number_, applied_, applied_term_, (now - started_).s, {}};
     for (auto& [name, lease] : leases_) ask.tenants[name] = report(lease, now);
+    asked_for_waiting_ = has_waiting();
     if (asked_at_ > long_ago) reply_within_ = std::min(reply_within_ * longer, most_reply_within);
     asked_at_ = last_ask_ = now;
     if (unanswered_since_ <= long_ago) unanswered_since_ = now;
--- a/src/leases/holder.hpp
+++ b/src/leases/holder.hpp
@@ -111,6 +111,7 @@
     uint64_t number_ = 0, applied_ = 0;   // of asks
     bool connected_ = false;
     Time asked_at_ = long_ago;                 // when the ask under way was sent; long ago: none is
+    bool asked_for_waiting_ = false;           // requests wait for its reply
     Time unanswered_since_ = long_ago;         // the first ask since the last reply, or since the connection came up
     Span reply_within_ = first_reply_within;   // of the ask under way; then another one is sent
     Time last_ask_ = long_ago, replied_ = long_ago;
