--- a/tests/system/subscriber_test.cpp
+++ b/tests/system/subscriber_test.cpp
@@ -92,6 +92,19 @@
     CHECK(world.opened.size() == before + 1);   // as soon as the first time
 }
 
+// While the core was split, all four control nodes of a zone were in the smaller half. Proxies of that zone tried those one after
+// the other for over 4 s before a node of another zone, all the while on an old configuration: seen in the logs of a day with a
+// cut through the core (moves at 12.96, 13.96, 15.97 and 17.98 s), on which a confirmed change was in force too late.
+TEST_CASE("a proxy whose zone is cut off finds a control node elsewhere at its first move") {
+    const auto south = node(5, "south");
+    World world({node(1), node(2), node(3), node(4), south});
+    REQUIRE(world.subscriber.at() != south.peer);   // its own zone first
+    world.hear_for(fleet(true), Span{1});
+    world.hear_for(fleet(false, true), Span{1});
+    CHECK(world.opened.size() == 2);
+    CHECK(world.subscriber.at() == south.peer);
+}
+
 TEST_CASE("a connection that does not come up is given up soon, and later each time") {
     Subscriber subscriber({"edge-1", "10.0.0.9", "north", 1});
     subscriber.add_seeds({{{"10.0.0.1", 7500}, {"10.0.0.1", 8367}, ""}});
