A zone in which a control node was out of touch comes last for a while

Cause: what keeps one node from a majority, such as a cut through the core, may keep all nodes of its zone from it; a proxy took its own zone first all the same, with growing patience, and kept an old configuration for over 4 s. Change: a zone with a node that was left for being out of touch, less than 5 s ago, comes behind the others.

--- a/src/roles/proxy/subscriber.cpp
+++ b/src/roles/proxy/subscriber.cpp
@@ -12,6 +12,7 @@
 // A node without a majority is left after this, if another one may have one; longer each time until one has.
 constexpr Span least_patience{0.5}, most_patience{2};
 constexpr double longer = 2;
+constexpr Span suspected{5};   // a zone in which a node was out of touch
 constexpr Span avoided{2.5};   // a node that failed is tried again after this, or when all have failed
 
 }   // namespace
@@ -101,7 +102,7 @@
     if (link_ == Link::open && now - heard_ > silent_after) leave(memory::Why::silent, now);
     const bool out_of_touch = out_of_touch_since_ > long_ago && now - out_of_touch_since_ > patience_;
     if (link_ != Link::none && out_of_touch) {
-        nodes_[at_].failed = now;
+        nodes_[at_].failed = nodes_[at_].out_of_touch = now;
         const auto* other = choose(now);
         if (other && other->node.peer != at_) {
             patience_ = std::min(patience_ * longer, most_patience);
@@ -119,10 +120,20 @@
     outputs_.push_back(OpenLink{at_});
 }
 
-// Own machine, own zone, others; so that little crosses zones.
-int Subscriber::distance(const Node& node) const {
-    if (node.node.peer.address == options_.address) return 0;
-    return node.node.zone == options_.zone ? 1 : 2;
+// Own machine, own zone, others; so that little crosses zones. What keeps one node from a majority, such as a cut, may keep
+// all nodes of its zone from it: they come last for a while, or a proxy would try them one after the other.
+int Subscriber::distance(const Node& node, Time now) const {
+    enum { own_machine, own_zone, other_zone, suspected_zone };
+    if (is_suspected(node.node.zone, now)) return suspected_zone;
+    if (node.node.peer.address == options_.address) return own_machine;
+    return node.node.zone == options_.zone ? own_zone : other_zone;
+}
+
+bool Subscriber::is_suspected(const std::string& zone, Time now) const {
+    return std::any_of(nodes_.begin(), nodes_.end(), [&](const auto& known) {
+        const auto& node = known.second;
+        return node.node.zone == zone && now - node.out_of_touch < suspected;
+    });
 }
 
 // The nearest of those that have not failed lately; where all have, the one whose failure is the longest ago.
@@ -131,7 +142,7 @@
     std::pair<double, double> least;
     for (auto& [endpoint, node] : nodes_) {
         const bool failed = now - node.failed < avoided;
-        const std::pair<double, double> cost{failed ? 10 + node.failed.s : distance(node), chance_.share()};
+        const std::pair<double, double> cost{failed ? 10 + node.failed.s : distance(node, now), chance_.share()};
         if (best && cost >= least) continue;
         best = &node;
         least = cost;
--- a/src/roles/proxy/subscriber.hpp
+++ b/src/roles/proxy/subscriber.hpp
@@ -60,12 +60,14 @@
 private:
     struct Node {
         messages::ControlNode node;
-        Time failed = long_ago;   // last time that it was silent, unreachable or out of touch with a majority
-        uint64_t named = 0;       // when it was last named by settings or a control node, in the order of such words
+        Time failed = long_ago;         // last time that it was silent, unreachable or out of touch with a majority
+        Time out_of_touch = long_ago;   // last time that it was left for that last reason
+        uint64_t named = 0;   // when it was last named by settings or a control node, in the order of such words
     };
     enum class Link { none, opening, open };
     Node* choose(Time now);
-    int distance(const Node& node) const;
+    int distance(const Node& node, Time now) const;
+    bool is_suspected(const std::string& zone, Time now) const;
     void leave(memory::Why why, Time now);
     Node& know(const messages::ControlNode& told);
     void forget_one();
