Barriers that come close together share a round, which goes to voters alone

Change: at most five rounds within a tenth of a second; further barriers wait for the next, which is sent after they were asked for. Rounds for barriers go to voters; the regular heartbeat goes to all as before.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -82,6 +82,7 @@
     if (from == self_) return;
     if (const auto peer = peers_.find(from); peer != peers_.end()) peer->second.met = now;
     std::visit([&](const auto& typed) { on(from, typed, now); }, message);
+    if (role_ == Role::leader && now >= confirming_round_at_) send_confirming_round(now);
 }
 
 void Replica::follow(uint64_t term, std::optional<ReplicaId> leader, Time now) {
@@ -224,7 +225,10 @@
     if (role_ == Role::leader) {
         check_quorum(now);
         if (role_ != Role::leader) return;
-        if (now >= heartbeat_at_) heartbeat(now);
+        if (now >= heartbeat_at_)
+            heartbeat(now);
+        else if (now >= confirming_round_at_)
+            send_confirming_round(now);
         if (now >= transfer_until_) transferring_ = false;
         if (!options_.counts && !transferring_) transfer_leadership(now);
         return change_voters(now);
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -170,6 +170,8 @@
     void lead(Time now);
     void heartbeat(Time now);
     uint64_t begin_round(BarrierRound round, Time now);   // the number of the round that confirms a barrier
+    void send_confirming_round(Time now);
+    void note_new_round(Time now);
     void append_to(const ReplicaId& to, Peer& peer, Time now);
     Append append_for(const Peer& peer) const;
     void adopt(Entry entry);
@@ -211,7 +213,8 @@
     uint64_t committed_ = 0;
     uint64_t own_term_index_ = 0;   // first entry of the leader's term
     uint64_t round_ = 0;
-    std::deque<Round> rounds_;   // sent as the leader, the newest last
+    std::deque<Round> rounds_;         // sent as the leader, the newest last
+    Time confirming_round_at_{1e18};   // when the round that barriers wait for is to be sent
     std::vector<Barrier> barriers_;
     std::vector<FollowerBarrier> follower_barriers_;
     uint64_t next_barrier_ = 1;
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -8,6 +8,9 @@
 
 constexpr Span recently{2};           // a peer met since then can be reached
 constexpr size_t most_rounds = 128;   // whose times are remembered
+constexpr Span close_together{0.1};   // of rounds
+constexpr size_t most_close_rounds = 5;
+constexpr Time never{1e18};
 constexpr size_t most_barriers = 256;
 
 }   // namespace
@@ -31,12 +34,33 @@
     rounds.push_back({number, at});
 }
 
+// The number of the round that confirms a barrier; it is sent after the barrier was asked for. Barriers that come close
+// together share one, or rounds would grow with those who ask.
 uint64_t Replica::begin_round(BarrierRound round, Time now) {
     if (round == BarrierRound::next_heartbeat) return round_ + 1;
-    heartbeat(now);
+    if (rounds_.size() >= most_close_rounds) {
+        const Time free_at = rounds_[rounds_.size() - most_close_rounds].at + close_together;
+        if (now < free_at) {
+            confirming_round_at_ = free_at;
+            return round_ + 1;
+        }
+    }
+    send_confirming_round(now);
     return round_;
 }
 
+// To voters alone: others' answers prove nothing.
+void Replica::send_confirming_round(Time now) {
+    note_new_round(now);
+    for (auto& [id, peer] : peers_)
+        if (is_voter(id)) append_to(id, peer, now);
+}
+
+void Replica::note_new_round(Time now) {
+    note_round(rounds_, ++round_, now);
+    confirming_round_at_ = never;
+}
+
 std::optional<uint64_t> Replica::barrier(BarrierAt at, Time now, BarrierRound round) {
     const auto number = next_barrier_;
     if (role_ == Role::leader) {
@@ -67,7 +91,7 @@
 }
 
 void Replica::heartbeat(Time now) {
-    note_round(rounds_, ++round_, now);
+    note_new_round(now);
     heartbeat_at_ = now + options_.heartbeat;
     for (auto& [id, peer] : peers_)
         if (is_voter(id) || now - peer.met < recently) append_to(id, peer, now);
