A follower whose leader's connection ends stands for election soon

Cause: at three hundred machines a proxy holds less than a request's units, so nearly all requests of tenants with limits are refused while nobody leads; a leader that was killed was missed by its silence alone, after 0.9 to 1.6 s, though its connections are reset at once. Change: the end of the connection on which the leader sends brings an election within 0.35 to 0.6 s, unless the leader is heard of again. It goes by the pre-vote as every election: a majority must have lost the leader.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -78,6 +78,14 @@
     if (peer != self_) peers_[peer].departs = false;
 }
 
+// An ended process resets its connections, long before its silence would tell. A connection that was only reset is up again
+// within that time, and the leader is heard of. Others judge for themselves: a majority must have lost it.
+void Replica::disconnected(const ReplicaId& peer, Time now) {
+    if (role_ != Role::follower || leader_ != peer) return;
+    heard_leader_ = std::min(heard_leader_, now - options_.least_election_timeout);
+    election_at_ = std::min(election_at_, now + options_.leader_left + options_.next_election * chance_.share());
+}
+
 void Replica::received(const ReplicaId& from, const Message& message, Time now) {
     if (from == self_) return;
     if (const auto peer = peers_.find(from); peer != peers_.end()) peer->second.met = now;
--- a/src/consensus/replica.hpp
+++ b/src/consensus/replica.hpp
@@ -32,6 +32,7 @@
     Span least_election_timeout{0.9};   // the most is this and `election_spread`
     Span election_spread{0.7};
     Span first_election{0.15};   // after a start, when there may be no leader at all; and as much again by chance
+    Span leader_left{0.35};      // after the leader's connection has ended, and up to `next_election` more by chance
     Span next_election{0.25};    // while none has been heard of since the start; and twice as much by chance
     Span resend{1};              // an entry that is not acknowledged is sent again after this
     // A voter silent for this long is dropped where enough others live: what is lost next may be one of those. It joins
@@ -99,6 +100,10 @@
     void met(const ReplicaId& peer, bool may_vote, Time now);
     void greeted(const ReplicaId& peer, bool may_vote, Time now);   // by a process that has just connected
 
+    // The connection on which that peer sends has ended: its process has, or the network has reset it. A follower of that peer
+    // stands for election soon; its leader prevents that by its next message.
+    void disconnected(const ReplicaId& peer, Time now);
+
     // The leader's: makes the state the next entry. Nothing where this replica does not lead.
     std::optional<Position> propose(ClusterState state, Time now);
     // At the leader or, by way of the leader, at any other replica. Nothing where no leader is known.
--- a/src/roles/control/node.cpp
+++ b/src/roles/control/node.cpp
@@ -133,7 +133,7 @@
 }
 
 void Node::link_closed(LinkNumber link, Time now) {
-    links_.erase(link);
+    if (const auto from = links_.extract(link); !from.empty()) replica_.disconnected(from.mapped().replica, now);
     proxies_.left(link, now);
     end_subscription(link);
 }
--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -290,6 +290,31 @@
     CHECK((leader.last<TransferLeadership>(2) || leader.last<TransferLeadership>(3)));
 }
 
+TEST_CASE("a follower whose leader's connection ends stands soon, unless the leader is heard of again") {
+    Alone follower;
+    const Position last{0, 1};
+    const auto elections = [&] {
+        size_t count = 0;
+        for (const auto& each : follower.sent) count += std::holds_alternative<VoteRequest>(each.message);
+        return count;
+    };
+    follower.hear(2, append(1, 1, last, 0, 0));
+    follower.self->disconnected(replica(3), follower.now);   // of another follower
+    follower.self->disconnected(replica(2), follower.now);   // reset, and up again
+    follower.pass(Span{0.25});
+    follower.hear(2, append(1, 2, last, 0, 1));
+    follower.pass(Span{0.8});
+    CHECK(elections() == 0);
+    follower.hear(2, append(1, 3, last, 0, 2));
+    follower.self->disconnected(replica(2), follower.now);
+    follower.hear(3, VoteRequest{true, 2, last, false});   // another one that has lost it is not held up
+    CHECK(follower.last<VoteReply>(3)->granted);
+    follower.pass(Span{0.3});
+    CHECK(elections() == 0);
+    follower.pass(Span{0.4});
+    CHECK(elections() > 0);
+}
+
 TEST_CASE("a vote is on disk, with whom it went to, before it is given") {
     Alone alone;
     alone.self->received(replica(2), VoteRequest{false, 5, {0, 1}, true}, alone.now);
