A tenant of whom nothing is asked is remembered by a proxy for four seconds

Cause: an ask names all tenants of the last ten seconds, 22 of 40 at a proxy with five requests a second; units end four seconds after the ask that brought them in any case. Change: LeaseTerms::remembered 10 to 4 s, for holder and allocator alike.

--- a/src/leases/lease.hpp
+++ b/src/leases/lease.hpp
@@ -17,7 +17,7 @@
     Span pooled{1.5};             // the reserve stays with the allocator so long after a reply has come
     Span reserve{7};              // the reserve, from the sending of the ask that it answers
     Span authority{0.35};         // of an allocator, from the sending of the round that a majority has answered
-    Span remembered{10};          // by a holder, a tenant of whom nothing is asked
+    Span remembered{4};           // by a holder, a tenant of whom nothing is asked
     Span takeover_margin{0.05};   // beyond that, until another one begins
 };
 
