--- a/src/base/packed_text.cpp
+++ b/src/base/packed_text.cpp
@@ -56,7 +56,7 @@
     uint32_t gathered = 0;
     int bits = 0;
     for (const char digit : text) {
-        const int value = values[static_cast<unsigned char>(digit)];
+        const auto value = values[static_cast<unsigned char>(digit)];
         if (value < 0) return {};
         gathered = gathered << bits_a_digit | static_cast<uint32_t>(value);
         bits += bits_a_digit;
