Virtual world: an order needs a copy more than the losses that may still follow

Change: the check asks for tolerated losses, less the machines that count as lost since their disks were, and one copy more; in all other moments for what it asked for before. copies_before_a_loss, checked whenever a disk is lost with nothing out of order, is as strict as it was.

--- a/src/lab/control/checker.hpp
+++ b/src/lab/control/checker.hpp
@@ -54,6 +54,8 @@
     // The machine is about to lose its disk. A copy that was on it has been made: an order that was committed with it may
     // be confirmed a moment later.
     void disk_lost(const Machine& machine);
+    // A machine that no longer counts as lost.
+    void caught_up(const Machine& machine);
     void drain_acknowledged(const std::string& host, registry::HostState state, const Machine& by,
                             const std::vector<const Machine*>& machines);
     // Nothing is out of order at this moment: a disk may be lost.
@@ -105,6 +107,7 @@
     std::map<std::string, std::pair<registry::HostState, Time>> drains_;   // hosts that were acknowledged
     uint64_t newest_confirmed_ = 0;
     std::map<ProcessId, uint64_t> on_lost_disks_;   // the newest version that a machine's last disk held
+    std::set<ProcessId> without_old_disk_;          // machines that count as lost since their disks were
 
 public:
     // Bodies have numbers, so that histories are small.
--- a/src/lab/control/world.cpp
+++ b/src/lab/control/world.cpp
@@ -221,6 +221,11 @@
         std::count_if(machines_.begin(), machines_.end(), [this](const auto& machine) { return is_lost(*machine); }));
 }
 
+void World::note_caught_up() {
+    for (const auto& machine : machines_)
+        if (!is_lost(*machine)) checker_.caught_up(*machine);
+}
+
 bool World::may_strike(const Fault& fault, const Machine& machine) const {
     if (fault.kind == FaultKind::kill_all || fault.kind == FaultKind::power_loss_all) return true;
     if (machine.gone) return false;
@@ -369,6 +374,7 @@
 }
 
 void World::lose_disk(Machine& machine, Span span, bool rots) {
+    note_caught_up();
     if (lost() == 0) checker_.before_a_loss(disks());
     checker_.disk_lost(machine);
     machine.end(rots ? Machine::End::killed : Machine::End::without_power);
@@ -382,6 +388,7 @@
 }
 
 void World::replace(Machine& machine, bool planned) {
+    note_caught_up();
     if (lost() == 0) checker_.before_a_loss(disks());
     auto& successor = add_machine(false);
     successor.succeeds = true;
@@ -426,6 +433,7 @@
     order.patches = request.method == "PATCH";
     order.body = checker_.number_of_order(request.body, order.patches);
     if (answer.status == 200) {
+        note_caught_up();
         checker_.confirmed(order, disks());
         return acknowledged(by);
     }
--- a/src/lab/control/world.hpp
+++ b/src/lab/control/world.hpp
@@ -62,6 +62,7 @@
     void lose_disk(Machine& machine, Span span, bool rots);
     bool is_lost(const Machine& machine) const;
     size_t lost() const;
+    void note_caught_up();   // tells the checker which machines no longer count as lost
     void answered(Machine& by, const myrtleroute::control::HttpRequest& request,
                   const myrtleroute::control::Answer& answer);
     void order_answered(Machine& by, const myrtleroute::control::HttpRequest& request,
