--- a/review/standin/host.cpp
+++ b/review/standin/host.cpp
@@ -148,8 +148,7 @@
     RunRecord record(options.record);
     const auto listener = listen_at(options.at);
     if (!listener.valid()) return 2;
-    const int window = 64 * 1024;   // accepted connections take it over: links have small windows
-    if (options.framing == "early") ::setsockopt(listener.fd(), SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    if (options.framing == "early") use_small_windows(listener.fd());
     std::thread([&] { send_heartbeats(options); }).detach();
     for (;;) {
         const int fd = ::accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC);
--- a/review/standin/net.hpp
+++ b/review/standin/net.hpp
@@ -93,13 +93,19 @@
     return socket;
 }
 
-// `receive_buffer`: size of the receive buffer in bytes; 0: the system's usual one.
-inline Socket connect_to(const Address& to, double timeout, int receive_buffer = 0) {
+// Makes a socket receive as over a network's link: segments of Ethernet's size, and a small window. Loopback has segments
+// of 64 KB, with which the kernel takes megabytes from the sender at once. For a listener: its connections take it over.
+inline void use_small_windows(int fd) {
+    const int segment = 1448, window = 64 * 1024;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+}
+
+inline Socket connect_to(const Address& to, double timeout, bool small_windows = false) {
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     const int on = 1;
     ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    if (receive_buffer)
-        ::setsockopt(socket.fd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    if (small_windows) use_small_windows(socket.fd());
     set_timeout(socket.fd(), timeout);   // also bounds connect
     const auto address = socket_address(to);
     if (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return Socket();
--- a/review/standin/relay.hpp
+++ b/review/standin/relay.hpp
@@ -17,8 +17,6 @@
     }
 
 private:
-    static constexpr int window = 64 * 1024;
-
     void accept() {
         for (;;) {
             const int fd = ::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC);
@@ -26,7 +24,7 @@
         }
     }
     void relay(Socket client) const {
-        const auto proxy = connect_to(to_, 1, window);
+        const auto proxy = connect_to(to_, 1, true);
         if (!proxy.valid()) return;
         set_timeout(proxy.fd(), 0);
         std::thread up([&] { pass(client.fd(), proxy.fd(), 0); });
