--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -54,8 +54,6 @@
     Address control(int machine) const { return {machine_ip(machine), control_port}; }
     Address front(int machine) const { return {machine_ip(machine), front_port}; }
     Address host(int number) const { return {block_ + "1." + std::to_string(number + 1), host_port}; }
-    // Where the clients' link to that machine's proxy begins.
-    Address link(int machine) const { return {block_ + "2." + std::to_string(machine + 1), front_port}; }
     std::vector<Address> controls() const {
         std::vector<Address> all;
         for (int machine = 0; machine < sizes_.machines; ++machine) all.push_back(control(machine));
@@ -121,6 +119,49 @@
             }
     }
 
+    // A further machine, as the platform adds one: empty, with the settings of that moment.
+    int add_machine() {
+        const std::lock_guard lock(mutex_);
+        const int machine = sizes_.machines++;
+        for (const char* role : {"control", "proxy"}) {
+            processes_.push_back({role, machine});
+            start(processes_.back());
+        }
+        return machine;
+    }
+    // SIGTERM to a machine that leaves for good, SIGKILL after the grace. Returns once its processes have ended.
+    void remove_machine(int machine) {
+        {
+            const std::lock_guard lock(mutex_);
+            for (auto& process : processes_)
+                if (process.machine == machine) {
+                    process.is_held = true;
+                    ::kill(process.pid, SIGTERM);
+                }
+        }
+        record_.line("machine " + std::to_string(machine) + " gets SIGTERM and leaves for good", true);
+        const double grace_ends = seconds_now() + grace;
+        while (has_process(machine, "control")) {
+            if (seconds_now() > grace_ends) throw std::runtime_error("the control process did not end within the grace");
+            sleep_for(0.01);
+        }
+        record_.line("its control process has ended", true);
+    }
+    // Kills every process at the same moment; they start again after `down` seconds. One machine's disk is lost.
+    void kill_all(int loses_disk, double down) {
+        const std::lock_guard lock(mutex_);
+        for (auto& process : processes_)
+            if (process.pid > 0) ::kill(process.pid, SIGKILL);
+        for (auto& process : processes_) {
+            if (process.pid <= 0) continue;
+            ::waitpid(process.pid, nullptr, 0);
+            process.pid = -1;
+            process.start_at = seconds_now() + down;
+        }
+        fs::remove_all(directory_ + "/data-" + std::to_string(loses_disk));
+        record_.line("all processes are killed, machine " + std::to_string(loses_disk) + " loses its disk", true);
+    }
+
     struct Process {
         std::string role;
         int machine = 0;
@@ -150,6 +191,14 @@
 
 private:
     static constexpr const char* program = "target/myrtlerouted";
+    static constexpr double grace = 8;   // bounds.graceS
+
+    bool has_process(int machine, const std::string& role) const {
+        const std::lock_guard lock(mutex_);
+        return std::any_of(processes_.begin(), processes_.end(), [&](const auto& process) {
+            return process.machine == machine && process.role == role && process.pid > 0;
+        });
+    }
     static constexpr double restart_delay = 0.3;
 
     static std::string zone(int number) { return "zone-" + std::to_string(number % 3); }
--- a/review/standin/net.hpp
+++ b/review/standin/net.hpp
@@ -94,18 +94,17 @@
 }
 
 // Makes a socket receive as over a network's link: segments of Ethernet's size, and a small window. Loopback has segments
-// of 64 KB, with which the kernel takes megabytes from the sender at once. For a listener: its connections take it over.
+// of 64 KB, with which the kernel takes megabytes from the sender at once. For a listener, whose connections take it over.
 inline void use_small_windows(int fd) {
     const int segment = 1448, window = 64 * 1024;
     ::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
     ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
 }
 
-inline Socket connect_to(const Address& to, double timeout, bool small_windows = false) {
+inline Socket connect_to(const Address& to, double timeout) {
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     const int on = 1;
     ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    if (small_windows) use_small_windows(socket.fd());
     set_timeout(socket.fd(), timeout);   // also bounds connect
     const auto address = socket_address(to);
     if (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return Socket();
@@ -143,7 +142,7 @@
     }
 };
 
-// Reads messages from one connection, byte for byte as their framing says. `pause` (if set) is called before each read.
+// Reads messages from one connection, byte for byte as their framing says.
 class Reader {
 public:
     explicit Reader(int fd) : fd_(fd) {}
@@ -192,7 +191,6 @@
     }
     bool has_ended() const { return !ended_.empty(); }
 
-    double pause_after_head = 0;   // seconds for which nothing is read once the first bytes of a body are there
 
 private:
     bool fill() {
@@ -231,7 +229,6 @@
             into.append(buffer_, 0, n);
             at_ = n;
             count -= n;
-            if (pause_after_head > 0) sleep_for(std::exchange(pause_after_head, 0));
         }
         drop();
         return true;
@@ -253,7 +250,6 @@
             drop();
             into.append(buffer_);
             buffer_.clear();
-            if (pause_after_head > 0 && !into.empty()) sleep_for(std::exchange(pause_after_head, 0));
             if (!fill()) return ended_ == "closed";
         }
     }
