--- a/review/standin/host.cpp
+++ b/review/standin/host.cpp
@@ -3,10 +3,8 @@
 //   host ID SERVICE IP:PORT ZONE CONTROL,CONTROL,... BYTES SECONDS FRAMING WORK RECORD
 //
 // It works on a request for WORK seconds. An answer has BYTES bytes and is sent in even pieces over SECONDS. FRAMING:
-// `length`, `chunked`, `close` (no length; the answer ends with its connection), or `early`: as `length`, but the host
-// begins its work when it has read the head, and reads the body only after it has answered. Every run is appended to
-// RECORD as a line `run REQUEST-ID STAMP`, and `sent STAMP` follows when all of its answer has been handed to the
-// connection.
+// `length`, `chunked`, or `close` (no length; the answer ends with its connection). Every run is appended to RECORD as a
+// line `run REQUEST-ID STAMP`, and `sent STAMP` follows when all of its answer has been handed to the connection.
 #include <sys/prctl.h>
 
 #include <atomic>
@@ -74,7 +72,7 @@
     sleep_for(options.work);
     const auto body = body_of(stamp, options.bytes);
     std::string more = "X-Server-Signature: " + stamp + "\r\nContent-Type: text/plain\r\n";
-    if (options.framing == "length" || options.framing == "early") more += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (options.framing == "length") more += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     if (options.framing == "chunked") more += "Transfer-Encoding: chunked\r\n";
     if (options.framing == "close") more += "Connection: close\r\n";
     bool sent = send_all(fd, head(options, request, 200, more));
@@ -100,14 +98,8 @@
     ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     Reader reader(socket.fd());
     for (;;) {
-        auto request = reader.read_head(false);
-        if (!request.has_head) return;
-        const bool early = options.framing == "early";
-        if (!early) reader.read_body(request, false);
-        if (!early && !request.complete) return;
-        if (!serve(socket.fd(), options, request, record)) return;
-        if (early) reader.read_body(request, false);
-        if (!request.complete) return;
+        const auto request = reader.read(false);
+        if (!request.complete || !serve(socket.fd(), options, request, record)) return;
     }
 }
 
@@ -148,7 +140,6 @@
     RunRecord record(options.record);
     const auto listener = listen_at(options.at);
     if (!listener.valid()) return 2;
-    if (options.framing == "early") use_small_windows(listener.fd());
     std::thread([&] { send_heartbeats(options); }).detach();
     for (;;) {
         const int fd = ::accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC);
--- a/review/standin/net.hpp
+++ b/review/standin/net.hpp
@@ -93,14 +93,6 @@
     return socket;
 }
 
-// Makes a socket receive as over a network's link: segments of Ethernet's size, and a small window. Loopback has segments
-// of 64 KB, with which the kernel takes megabytes from the sender at once. For a listener, whose connections take it over.
-inline void use_small_windows(int fd) {
-    const int segment = 1448, window = 64 * 1024;
-    ::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
-    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-}
-
 inline Socket connect_to(const Address& to, double timeout) {
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     const int on = 1;
