Soak: judges the order of events of streams, cut ones too; hosts are killed, answer without a length, cut and join events

Cause: the soak named ORDER and reported it nowhere; its hosts sent each event in a chunk of its own, the same in every run, and broke off only behind the last one.

--- a/src/demo/main.cpp
+++ b/src/demo/main.cpp
@@ -12,6 +12,7 @@
 
 #include "soak/clients.hpp"
 #include "soak/fleet.hpp"
+#include "soak/event_stream_check.hpp"
 #include "soak/hosts.hpp"
 #include "soak/operator.hpp"
 #include "soak/timing.hpp"
@@ -95,11 +96,12 @@
         host.seed = number + 1;
         for (size_t machine = 0; machine < control_nodes; ++machine)
             host.controls.push_back(addresses_.control(machine));
-        hosts_.push_back(std::make_unique<Host>(context_, std::move(host),
-                                                HostEvents{[](const std::string&, const std::string&) {},
-                                                           [] {
-                                                               return false;
-                                                           }}));
+        hosts_.push_back(
+            std::make_unique<Host>(context_, std::move(host),
+                                   HostEvents{[](const std::string&, const std::string&) {}, [] { return false; },
+                                              [] {
+                                                  return false;
+                                              }}));
     }
 
     Endpoint front_address(size_t machine) const { return {addresses_.machine(machine), Addresses::front_port}; }
@@ -161,11 +163,11 @@
 
     void print_response(const HttpReply& reply) {
         served_ = true;
-        std::cout << "POST /stream/greeting: " << reply.status << ", by "
-                  << field_of(reply.fields, "X-Server-Signature") << '\n'
+        const auto signature = field_of(reply.fields, "X-Server-Signature");
+        std::cout << "POST /stream/greeting: " << reply.status << ", by " << signature << '\n'
                   << reply.body << std::flush;
-        if (reply.status != 200 || !is_complete_body(reply.body, request_id, true))
-            return fail("the response is incomplete");
+        const auto stream = check_stream(reply.body, {request_id, signature, false, 0}, true);
+        if (reply.status != 200 || !stream.violation.empty()) return fail("the response is incomplete");
         if (!keep_running_) return context_.stop();
         std::cout << "The fleet runs until Ctrl-C. Tenants have keys: Authorization: Token " << tenants().front().key
                   << std::endl;
--- a/src/soak/checker.cpp
+++ b/src/soak/checker.cpp
@@ -13,8 +13,6 @@
 constexpr double never = 1e18;
 constexpr size_t max_violations = 200;   // reported for one run
 
-bool is_success(int status) { return status >= 200 && status < 300; }
-
 // Whether the status guarantees that the request has not run and never will.
 bool promises_not_run(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
 
@@ -62,6 +60,13 @@
     if (request.runs.empty()) report(Rule::mixed, now, "no host ran the request before the" + of);
 }
 
+void Checker::stream_violated(const std::string& id, const std::string& how, double now) {
+    const auto& request = requests_[by_id_.at(id)];
+    report(Rule::order, now,
+           "response to request " + id + ", sent to machine " + std::to_string(request.sent.proxy) + " at " +
+               std::to_string(request.sent_at) + ": " + how);
+}
+
 void Checker::response_cut(const std::string& id, const char* how, double now) {
     auto& request = requests_[by_id_.at(id)];
     request.answered_at = now;
--- a/src/soak/checker.hpp
+++ b/src/soak/checker.hpp
@@ -15,6 +15,8 @@
 enum class Rule { quota, twice, refused, mixed, unasked, order, configuration, lost, recover, own_end, counter, kinds };
 const char* name_of(Rule rule);
 
+inline bool is_success(int status) { return status >= 200 && status < 300; }
+
 struct Violation {
     Rule rule = Rule::quota;
     double at = 0;   // seconds since the start of the run
@@ -35,7 +37,8 @@
     int status = 0;   // 0: no response, or an incomplete one
     std::string id;   // X-Request-Id of the response
     bool signed_by_host = false;
-    bool body_matches = false;   // it is exactly the body that a host sends for this request
+    // It is exactly the body that a host sends for this request. Of streams, the order of events is checked instead.
+    bool body_matches = false;
 };
 
 // Rate limit of a tenant, as the operator configures it: units a second and units of burst.
@@ -55,6 +58,8 @@
     void request_sent(const SentRequest& request, double now);
     void request_ran(const std::string& id, const std::string& tenant, double now);
     void response_received(const std::string& id, const ReceivedResponse& answer, double now);
+    // A client has received wrong events of a stream, or an end that comes too early.
+    void stream_violated(const std::string& id, const std::string& how, double now);
 
     // A connection ended before the complete response. `response_cut`: the proxy had read the request; `how` is the
     // text after "was cut" in the report. `request_unread`: the proxy had not read it.
--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -1,8 +1,10 @@
 #include "soak/clients.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <iterator>
 
+#include "soak/event_stream_check.hpp"
 #include "soak/hosts.hpp"
 #include "soak/timing.hpp"
 
@@ -87,14 +89,21 @@
                       checker_.request_sent(sent, now_());
                   },
                   [this, id, was_sent, streams = route.streams](const HttpReply& reply) {
-                      if (!*was_sent) return;
-                      checker_.response_received(id,
-                                                 {reply.status, field_of(reply.fields, "X-Request-Id"),
-                                                  !field_of(reply.fields, "X-Server-Signature").empty(),
-                                                  is_complete_body(reply.body, id, streams)},
-                                                 now_());
+                      if (*was_sent) response_received(id, reply, streams);
                   }};
     start_call(context_, std::move(call));
 }
 
+void Clients::response_received(const std::string& id, const HttpReply& reply, bool streams) {
+    const auto signature = field_of(reply.fields, "X-Server-Signature");
+    if (streams && is_success(std::max(reply.status, reply.begun_status))) {
+        const auto result = check_stream(reply.body, {id, signature, false, 0}, reply.status != 0);
+        if (!result.violation.empty()) checker_.stream_violated(id, result.violation, now_());
+    }
+    checker_.response_received(id,
+                               {reply.status, field_of(reply.fields, "X-Request-Id"), !signature.empty(),
+                                streams || is_plain_body(reply.body, id)},
+                               now_());
+}
+
 }   // namespace myrtleroute::soak
--- a/src/soak/clients.hpp
+++ b/src/soak/clients.hpp
@@ -61,6 +61,7 @@
     };
     void next_request(Caller& caller);
     void send(const Tenant& tenant);
+    void response_received(const std::string& id, const HttpReply& reply, bool streams);
 
     asio::io_context& context_;
     Checker& checker_;
--- a/src/soak/http_call.cpp
+++ b/src/soak/http_call.cpp
@@ -28,7 +28,7 @@
           http_(wire::HttpParser::Side::response, reader_, response_limits()) {}
 
     void start() {
-        after(timer_, call_.timeout.s, [self = shared_from_this()] { self->finish({}); });
+        after(timer_, call_.timeout.s, [self = shared_from_this()] { self->finish_cut(); });
         socket_.async_connect(address_of(call_.to), [self = shared_from_this()](asio::error_code error) {
             error ? self->finish({}) : self->write();
         });
@@ -54,10 +54,16 @@
         http_.feed(bytes);
         if (error == asio::error::eof) http_.connection_closed();
         if (http_.done() && !http_.fault()) return finish(std::move(reader_.reply));
-        if (error || http_.fault()) return finish({});
+        if (error || http_.fault()) return finish_cut();
         read();
     }
 
+    void finish_cut() {
+        auto reply = std::move(reader_.reply);
+        reply.begun_status = std::exchange(reply.status, 0);
+        finish(std::move(reply));
+    }
+
     void finish(HttpReply reply) {
         if (std::exchange(finished_, true)) return;
         asio::error_code ignored;
--- a/src/soak/http_call.hpp
+++ b/src/soak/http_call.hpp
@@ -22,7 +22,8 @@
 struct HttpReply {
     int status = 0;   // 0: no complete response was received
     Fields fields;
-    std::string body;
+    std::string body;       // of a response that was cut off: what has been received
+    int begun_status = 0;   // of the response that was cut off; 0: there is none
 };
 
 // Collects a parsed response.
--- a/src/soak/operator.cpp
+++ b/src/soak/operator.cpp
@@ -17,16 +17,17 @@
 constexpr double min_factor = 0.4, max_factor = 2;   // of a changed limit, as a multiple of the initial one
 constexpr int max_redirects = 2;
 constexpr int timeout_ms = 3000, long_timeout_ms = 12000;   // of routes
+constexpr uint64_t max_added_ms = 900;   // to the timeouts of the clients' routes, where every part varies
 constexpr uint64_t max_version_step = 3;
 constexpr double patch_share = 0.5;   // of the changes that are sent as a patch
 
 std::string number(double value) { return std::to_string(static_cast<int64_t>(value)); }
 
-std::string route_json(const ClientRoute& route) {
+std::string route_json(const ClientRoute& route, int added_ms) {
     const bool is_long = route.streams && route.repeatable;
     return R"({"name":"r","hostname":")" + std::string(route_host) + R"(","pathPrefix":")" + route.path +
            R"(","kind":")" + route.kind + R"(","service":")" + route.service + R"(","timeoutMs":)" +
-           std::to_string(is_long ? long_timeout_ms : timeout_ms) +
+           std::to_string((is_long ? long_timeout_ms : timeout_ms) + added_ms) +
            R"(,"targetLatencyMs":1000,"priority":0,"maxAttempts":2,"public":false,"sticky":)" +
            (route.streams ? "true" : "false") + R"(,"resumable":)" + (is_long ? "true" : "false") + "}";
 }
@@ -52,7 +53,8 @@
 
 std::string configuration_text(uint64_t version, const Limits& limits, bool varied) {
     std::string route_list, tenant_list = tenants_json(limits), services = services_json, rest;
-    for (const auto& route : routes) route_list += (route_list.empty() ? "" : ",") + route_json(route);
+    const int added_ms = varied ? static_cast<int>(version % max_added_ms) : 0;
+    for (const auto& route : routes) route_list += (route_list.empty() ? "" : ",") + route_json(route, added_ms);
     if (varied) {
         const auto n = std::to_string(version);
         route_list += R"(,{"name":"w","hostname":"w.example","pathPrefix":"/w)" + n + R"(/","kind":"idempotent",)" +
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -23,7 +23,8 @@
         case FaultKind::kill_every_control: return {0.3, 1};
         case FaultKind::kill_proxies:
         case FaultKind::kill_controls:
-        case FaultKind::wipe_control: return {0.3, 4};
+        case FaultKind::wipe_control:
+        case FaultKind::kill_hosts: return {0.3, 4};
         case FaultKind::stop_proxies:
         case FaultKind::stop_controls: return {1, 2};
         case FaultKind::hang_up_every_process: return {0.3, 0.3};
@@ -45,7 +46,7 @@
 
 bool affects_connections(FaultKind kind) {
     return kind == FaultKind::control_answers_lost || kind == FaultKind::subscriptions_reset ||
-           kind == FaultKind::host_answers_lost;
+           kind == FaultKind::host_answers_lost || kind == FaultKind::host_streams_reset;
 }
 
 // Number of machines, counted from the first, that this kind of fault can affect.
@@ -58,6 +59,7 @@
         case FaultKind::wipe_control:
         case FaultKind::cut_controls:
         case FaultKind::cut_every_control: return size.controls;
+        case FaultKind::kill_hosts: return host_count;
         default: return size.proxies;
     }
 }
@@ -137,10 +139,10 @@
 
 const char* name_of(FaultKind kind) {
     constexpr const char* names[] = {
-        "kill_proxies",      "kill_controls",        "kill_every_proxy", "kill_every_control",   "pause_proxies",
-        "pause_controls",    "stop_proxies",         "stop_controls",    "wipe_control",         "cut_machines",
-        "cut_controls",      "cut_every_control",    "cut_proxies",      "control_answers_lost", "subscriptions_reset",
-        "host_answers_lost", "hang_up_every_process"};
+        "kill_proxies",      "kill_controls",      "kill_every_proxy", "kill_every_control",   "pause_proxies",
+        "pause_controls",    "stop_proxies",       "stop_controls",    "wipe_control",         "cut_machines",
+        "cut_controls",      "cut_every_control",  "cut_proxies",      "control_answers_lost", "subscriptions_reset",
+        "host_answers_lost", "host_streams_reset", "kill_hosts",       "hang_up_every_process"};
     static_assert(std::size(names) == static_cast<size_t>(FaultKind::kinds));
     return names[static_cast<size_t>(kind)];
 }
--- a/src/soak/plan.hpp
+++ b/src/soak/plan.hpp
@@ -27,6 +27,8 @@
     control_answers_lost,    // resets half of the responses of control nodes to hosts and the operator
     subscriptions_reset,     // resets some connections from proxies to control nodes when data is sent to the proxy
     host_answers_lost,       // resets a third of the connections of requests that hosts have run, before the response
+    host_streams_reset,      // resets some connections of hosts in the middle of a stream
+    kill_hosts,              // ends the connections and listeners of hosts, restarted after the duration
     hang_up_every_process,   // SIGHUP to every process, all at the same time
     kinds
 };
@@ -37,14 +39,16 @@
 
 struct Fault {
     FaultKind kind = FaultKind::kill_proxies;
-    double at = 0;         // seconds from the start of the faults
-    double duration = 1;   // seconds
-    std::vector<size_t> machines;
+    double at = 0;                  // seconds from the start of the faults
+    double duration = 1;            // seconds
+    std::vector<size_t> machines;   // of kill_hosts: numbers of hosts
     CutSide side = CutSide::both;   // for cuts only
     double end() const { return at + duration; }
     bool operator==(const Fault&) const = default;
 };
 
+constexpr size_t host_count = 6;
+
 struct FleetSize {
     size_t controls = 4, proxies = 8;
 };
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak.hpp"
 
 #include <algorithm>
+#include <array>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -18,7 +19,10 @@
 constexpr double contact_timeout = 3, configuration_timeout = 2;   // seconds, as in the settings (contactMs, configMs)
 constexpr double max_stop_duration = 9;   // seconds from SIGTERM until the process has restarted
 constexpr double response_loss = 0.5, subscription_loss = 0.1, host_response_loss = 0.33;
-constexpr size_t hosts_of_service = 3;
+constexpr double stream_reset_rate = 0.04;   // for each event, while streams are reset
+constexpr double unframed_share = 0.2;       // of the responses of hosts
+constexpr std::array services{"plain", "model"};
+constexpr size_t hosts_of_service = host_count / services.size();
 constexpr uint16_t host_port = 9000;
 
 QuotaBounds bounds_of(const FleetOptions& fleet) { return {fleet.quota_window, fleet.quota_over, fleet.quota_slack}; }
@@ -112,26 +116,32 @@
 }
 
 void Soak::open_hosts() {
-    size_t number = 0;
-    for (const char* service : {"plain", "model"})
-        for (size_t i = 0; i < hosts_of_service; ++i, ++number) {
-            HostOptions host;
-            host.id = std::string("i-") + service + "-" + std::to_string(i);
-            host.service = service;
-            host.zone = "zone-" + std::to_string(i % 2);
-            host.streams = host.service == "model";
-            host.address = {addresses_.host(number), host_port};
-            host.seed = options_.seed * 100 + number;
-            for (size_t c = 0; c < options_.size.controls; ++c) host.controls.push_back(addresses_.control(c));
-            hosts_.push_back(std::make_unique<Host>(
-                context_, std::move(host),
-                HostEvents{[this](const std::string& id, const std::string& tenant) {
-                               checker_.request_ran(id, tenant, now());
-                           },
-                           [this] {
-                               return is_active(FaultKind::host_answers_lost) && chance_.bernoulli(host_response_loss);
-                           }}));
-        }
+    for (size_t number = 0; number < host_count; ++number) {
+        auto options = host_options(services[number / hosts_of_service], number);
+        hosts_.push_back(std::make_unique<Host>(context_, std::move(options), host_events()));
+    }
+}
+
+HostOptions Soak::host_options(const std::string& service, size_t number) const {
+    const auto of_service = number % hosts_of_service;
+    HostOptions host;
+    host.id = "i-" + service + "-" + std::to_string(of_service);
+    host.service = service;
+    host.zone = "zone-" + std::to_string(of_service % 2);
+    host.streams = service == "model";
+    host.unframed_share = unframed_share;
+    host.address = {addresses_.host(number), host_port};
+    host.seed = options_.seed * 100 + number;
+    for (size_t c = 0; c < options_.size.controls; ++c) host.controls.push_back(addresses_.control(c));
+    return host;
+}
+
+HostEvents Soak::host_events() {
+    return {[this](const std::string& id, const std::string& tenant) { checker_.request_ran(id, tenant, now()); },
+            [this] { return is_active(FaultKind::host_answers_lost) && chance_.bernoulli(host_response_loss); },
+            [this] {
+                return is_active(FaultKind::host_streams_reset) && chance_.bernoulli(stream_reset_rate);
+            }};
 }
 
 // Identifies control nodes by their advertised address, proxies by their node name.
@@ -256,6 +266,7 @@
         case FaultKind::stop_proxies: return fleet_.stop(Role::proxy, machine, now());
         case FaultKind::stop_controls: return fleet_.stop(Role::control, machine, now());
         case FaultKind::wipe_control: return fleet_.wipe(machine, restart_at);
+        case FaultKind::kill_hosts: return hosts_[machine]->kill();
         case FaultKind::hang_up_every_process:
             if (machine < options_.size.controls) fleet_.reload(Role::control, machine, now());
             return fleet_.reload(Role::proxy, machine, now());
@@ -269,6 +280,7 @@
     for (const auto machine : fault.machines) {
         if (fault.kind == FaultKind::pause_proxies) fleet_.pause(Role::proxy, machine, false);
         if (fault.kind == FaultKind::pause_controls) fleet_.pause(Role::control, machine, false);
+        if (fault.kind == FaultKind::kill_hosts) hosts_[machine]->restart();
     }
 }
 
--- a/src/soak/soak.hpp
+++ b/src/soak/soak.hpp
@@ -58,6 +58,8 @@
     void begin_fault(const Fault& fault);
     void end_fault(const Fault& fault);
     void apply_fault(const Fault& fault, size_t machine);
+    HostOptions host_options(const std::string& service, size_t number) const;
+    HostEvents host_events();
     bool is_active(FaultKind kind) const;
     bool is_blocked(const InternalConnection& connection, Direction direction) const;
     std::optional<InternalConnection> identify(const std::string& json, size_t dialed) const;
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -11,6 +11,7 @@
 #include "soak/checker.hpp"
 #include "soak/clients.hpp"
 #include "soak/fleet.hpp"
+#include "soak/event_stream_check.hpp"
 #include "soak/hosts.hpp"
 #include "soak/operator.hpp"
 #include "soak/plan.hpp"
@@ -330,14 +331,55 @@
 }
 
 TEST_CASE("a body is accepted only if it is complete and belongs to the request") {
-    CHECK(is_complete_body("r end\n", "r", false));
-    CHECK_FALSE(is_complete_body("r en", "r", false));
+    CHECK(is_plain_body("r end\n", "r"));
+    CHECK_FALSE(is_plain_body("r en", "r"));
+    const auto is_complete_stream = [](const std::string& events, const std::string& request) {
+        return check_stream(events, {request, "sig", false, 0}, true).violation.empty();
+    };
     std::string events;
     for (int number = 1; number <= events_per_stream; ++number) {
-        CHECK_FALSE(is_complete_body(events, "r", true));
-        events += "id: " + std::to_string(number) + "\ndata: r\n\n";
+        CHECK_FALSE(is_complete_stream(events, "r"));
+        events += stream_event("r", "sig", number);
     }
-    CHECK(is_complete_body(events, "r", true));
-    CHECK_FALSE(is_complete_body(events, "s", true));
-    CHECK_FALSE(is_complete_body(events + events, "r", true));
+    CHECK(is_complete_stream(events, "r"));
+    CHECK_FALSE(is_complete_stream(events, "s"));
+    CHECK_FALSE(is_complete_stream(events + events, "r"));
+    CHECK_FALSE(is_complete_stream(events + "id: 13\n", "r"));
+    CHECK_FALSE(is_complete_stream(events.substr(0, events.size() - 1), "r"));
+}
+
+TEST_CASE("a stream that was cut off may lack its end, but not an event before it") {
+    const auto violates = [](const std::string& events) {
+        return !check_stream(events, {"r", "sig", false, 0}, false).violation.empty();
+    };
+    const auto first = stream_event("r", "sig", 1), second = stream_event("r", "sig", 2);
+    const auto third = stream_event("r", "sig", 3);
+    CHECK_FALSE(violates(""));
+    CHECK_FALSE(violates(first + second));
+    CHECK_FALSE(violates(first + second.substr(0, 7)));
+    CHECK(violates(first + third));
+    CHECK(violates(first + second + second));
+    CHECK(violates(second));
+    CHECK(violates(first + first));
+    CHECK(check_stream(first + second + third.substr(0, 9), {"r", "sig", false, 0}, false).last_event == 2);
+}
+
+TEST_CASE("only a resumable stream may contain events of a second run, and it starts with the signed one") {
+    const auto violates = [](const std::string& events, bool resumable, int resumed_after = 0) {
+        return !check_stream(events, {"r", "sig", resumable, resumed_after}, false).violation.empty();
+    };
+    const auto joined = stream_event("r", "sig", 1) + stream_event("r", "other", 2);
+    CHECK(violates(joined, false));
+    CHECK_FALSE(violates(joined, true));
+    CHECK(violates(stream_event("r", "other", 1), true));
+    CHECK_FALSE(violates(stream_event("r", "sig", 5), true, 4));
+    CHECK(violates(stream_event("r", "sig", 4), true, 4));
+    CHECK(violates(stream_event("r", "sig", 6), true, 4));
+}
+
+TEST_CASE("wrong events of a stream are a violation of the order") {
+    Checker checker({});
+    checker.request_sent({"a", "t", 1, false, 0}, 1);
+    checker.stream_violated("a", "event 2 was expected", 2);
+    CHECK(has(checker, Rule::order));
 }
