Sight: metrics and the log tell how hosts end their responses, and which go on at another host

Cause: nothing told a response that ended with its connection from one that ended at its last chunk, nor that one was resumed and after which event; the hypotheses of the incident could not be told apart. Change: myrtleroute_host_responses_total{end}, myrtleroute_responses_resumed_total, a line of the log a second at most for each.

--- a/src/roles/proxy/hosts.cpp
+++ b/src/roles/proxy/hosts.cpp
@@ -6,6 +6,7 @@
 
 #include "base/bounds.hpp"
 #include "base/fnv.hpp"
+#include "roles/log.hpp"
 
 namespace myrtleroute::proxy {
 namespace {
@@ -28,6 +29,7 @@
 HostConnections::HostConnections(Context& context, Events events)
     : context_(context),
       events_(std::move(events)),
+      report_(context.metrics, [](const std::string& line) { log_info() << line; }),
       idle_limit_reached_(bound_reached_counter(context.metrics, "idle_connections_of_a_host")),
       connection_limit_reached_(bound_reached_counter(context.metrics, "connections")) {}
 
@@ -199,11 +201,25 @@
     if (request.streams()) bytes = request.events.feed(bytes);
     events_.host_active(connection.host->service, connection.host->id);
     if (bytes.empty()) return;
-    if (!std::exchange(connection.streamed, true)) events_.response_began(request, connection);
+    if (!std::exchange(connection.streamed, true)) {
+        if (request.answering) report_.resumed(described(connection), context_.now());
+        events_.response_began(request, connection);
+    }
     events_.response_chunk(request, &connection, bytes);
 }
 
+HostResponse HostConnections::described(const HostConnection& connection) const {
+    const auto& request = *connection.request;
+    return {field_value(request.fields, "X-Request-Id"), connection.host->host.id, request.events.last_id()};
+}
+
+void HostConnections::report_end(const HostConnection& connection, HostResponseEnd end) {
+    if (connection.request) report_.ended(end, described(connection), context_.now());
+}
+
 void HostConnections::response_complete(HostConnection& connection) {
+    report_end(connection,
+               connection.http.ends_with_connection() ? HostResponseEnd::connection_closed : HostResponseEnd::framed);
     auto* request = connection.request;
     const auto call = request ? request->id : 0;
     const int number = connection.number;
@@ -255,6 +271,9 @@
 }
 
 void HostConnections::end_attempt(HostConnection& connection, Outcome outcome, CloseReason why) {
+    const bool by_host = outcome == Outcome::reset || outcome == Outcome::connect_failed;
+    if (by_host && connection.reader.head_done && !connection.stale)
+        report_end(connection, HostResponseEnd::broken_off);
     auto* request = std::exchange(connection.request, nullptr);
     const int number = connection.number;
     auto& host = *connection.host;
--- a/src/roles/proxy/hosts.hpp
+++ b/src/roles/proxy/hosts.hpp
@@ -10,6 +10,7 @@
 
 #include "roles/proxy/context.hpp"
 #include "roles/proxy/host_connection.hpp"
+#include "roles/proxy/host_response_report.hpp"
 
 namespace myrtleroute::proxy {
 
@@ -67,6 +68,8 @@
     void head_received(HostConnection& connection);
     void take_body(HostConnection& connection);
     void response_complete(HostConnection& connection);
+    void report_end(const HostConnection& connection, HostResponseEnd end);
+    HostResponse described(const HostConnection& connection) const;
     void release(HostConnection& connection);
     void end_attempt(HostConnection& connection, Outcome outcome, memory::CloseReason why);
     void queue_attempt_end(CallId call, int number, Outcome outcome);
@@ -75,6 +78,7 @@
 
     Context& context_;
     Events events_;
+    HostResponseReport report_;
     metrics::Counter idle_limit_reached_, connection_limit_reached_;
     std::unordered_map<ServerId, std::unique_ptr<HostRecord>> hosts_;
     std::list<HostConnection*> idle_;   // most recently used first
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -156,7 +156,7 @@
     if (bare) state_ = State::done;
     else if (chunked_) state_ = State::chunk_size;
     else if (has_length_ || side_ == Side::request) state_ = body_left_ ? State::body : State::done;
-    else state_ = State::until_close, keep_alive_ = false;   // a response that ends with its connection (RFC 9112, 6.3)
+    else state_ = State::until_close, until_close_ = true, keep_alive_ = false;   // a response that ends with its connection (RFC 9112, 6.3)
 }
 
 void HttpParser::chunk_size(std::string_view text) {
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -38,6 +38,7 @@
     bool started() const { return begun_; }
     bool done() const { return state_ == State::done; }
     int fault() const { return fault_; }   // the HTTP status for a malformed message; 0 = none
+    bool ends_with_connection() const { return until_close_; }   // the message has neither a length nor chunks
     bool keeps_alive() const { return keep_alive_; }   // whether the connection may carry another message
     bool expects_continue() const {      // the client waits for 100 Continue before it sends its body
         return continue_ && (state_ == State::body || state_ == State::chunk_size);
@@ -60,7 +61,7 @@
     std::string line_;
     size_t head_size_ = 0, body_left_ = 0, body_read_ = 0;
     bool begun_ = false, keep_alive_ = true, continue_ = false;
-    bool has_length_ = false, chunked_ = false, http_1_0_ = false;
+    bool has_length_ = false, chunked_ = false, http_1_0_ = false, until_close_ = false;
     int host_fields_ = 0, status_ = 0, fault_ = 0;
 };
 
