A response without a length is complete once its host has answered a health check after it

Callers saw: streams, and plain answers, that ended as complete before their last piece, some inside an event. Cause: the system closes the connections of a killed process in order, as the process itself would. The proxy took such an end for the end of a response without a length, and framed it for its client as complete. Change: at such an end the response is held (its events are out; its end isn't) until the same process answers a health check, on an idle connection or a new one, within a second. Else, or with half an event pending, the attempt counts as reset: a resumable stream goes on at another host after its last event, any other one is cut. A test of before took every orderly end for whole: it now answers the health check, and checks that nothing is passed on before that. Why it works: a process that answers after its connection has ended was not ended with that connection.

--- a/src/roles/proxy/host_connection.hpp
+++ b/src/roles/proxy/host_connection.hpp
@@ -4,6 +4,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,13 @@
     void body(std::string_view bytes) override { content.append(bytes); }
 };
 
+// A response whose host has ended it with the connection, without a length. It is complete if the host still runs: the
+// system also ends the connections of a killed process in order.
+struct UnconfirmedResponse {
+    Reply reply;
+    bool streamed = false;
+};
+
 struct HostConnection : memory::Connection {
     HostConnection(memory::ConnectionHandler& by, int fd, HostRecord& to, size_t max_in, size_t max_out,
                    wire::HttpLimits limits)
@@ -63,6 +71,7 @@
     ~HostConnection() override { --*connections; }
     std::string name() const override { return "host " + host->host.id; }
     bool busy() const { return request || is_probe; }
+    bool checks_health() const { return is_probe || unconfirmed; }
 
     HostRecord* host;
     std::shared_ptr<int> connections;   // counter shared with the host's record
@@ -71,8 +80,9 @@
     Request* request = nullptr;
     int number = 0;   // number of the attempt
     bool is_probe = false;
-    bool stale = false;      // the current response belongs to an earlier request
-    bool streamed = false;   // the response is forwarded as it arrives
+    std::optional<UnconfirmedResponse> unconfirmed;   // complete if the host answers a health check on this connection
+    bool stale = false;                               // the current response belongs to an earlier request
+    bool streamed = false;                            // the response is forwarded as it arrives
     Time sent, deadline;
     bool idle = false;
     double keep_alive = 0;   // seconds that the host keeps it open while idle, 0 = not announced
--- a/src/roles/proxy/host_response_report.cpp
+++ b/src/roles/proxy/host_response_report.cpp
@@ -12,6 +12,7 @@
         case HostResponseEnd::framed: return "framed";
         case HostResponseEnd::connection_closed: return "connection_closed";
         case HostResponseEnd::broken_off: return "broken_off";
+        case HostResponseEnd::unconfirmed: return "unconfirmed";
     }
     return "";
 }
--- a/src/roles/proxy/host_response_report.hpp
+++ b/src/roles/proxy/host_response_report.hpp
@@ -17,9 +17,10 @@
     framed,              // at its announced length or its last chunk
     connection_closed,   // in order, with the connection, as no length was announced
     broken_off,          // before its end, or by a reset
+    unconfirmed,         // with the connection, and nothing shows that the host still ran
 };
 constexpr std::array host_response_ends{HostResponseEnd::framed, HostResponseEnd::connection_closed,
-                                        HostResponseEnd::broken_off};
+                                        HostResponseEnd::broken_off, HostResponseEnd::unconfirmed};
 
 // The name used in metric labels and log lines.
 std::string_view to_string(HostResponseEnd end);
--- a/src/roles/proxy/hosts.cpp
+++ b/src/roles/proxy/hosts.cpp
@@ -17,13 +17,17 @@
 constexpr size_t max_in = 64 * 1024, max_out = 6 << 20;
 constexpr size_t max_response = 64 << 20;              // of a stream; memory is bounded by the client's output buffer
 constexpr size_t max_buffered_response = 256 * 1024;   // a larger response is forwarded before it is complete
-constexpr Span connect_timeout{1}, probe_timeout{2};
+constexpr Span connect_timeout{1}, probe_timeout{2}, confirmation_timeout{1};
 constexpr double keep_alive_share = 0.7;   // idle connections close after this fraction of the host's keep-alive
 constexpr Span default_keep_alive{4};
 constexpr Span keep_gone_for{60};
 constexpr double running_weight = 0.3;   // of a running request in a host's reported load; a waiting one weighs 1
 constexpr size_t max_idle = 24;          // idle connections kept for each host
 
+HostResponse described(const Request& request, const HostRecord& host) {
+    return {field_value(request.fields, "X-Request-Id"), host.host.id, request.events.last_id()};
+}
+
 }   // namespace
 
 HostConnections::HostConnections(Context& context, Events events)
@@ -113,7 +117,8 @@
 
 void HostConnections::on_connected(Connection& base) {
     auto& connection = static_cast<HostConnection&>(base);
-    if (connection.request && !events_.may_start(*connection.request, connection.number))
+    const bool starts_request = connection.request && !connection.unconfirmed;
+    if (starts_request && !events_.may_start(*connection.request, connection.number))
         return end_attempt(connection, Outcome::never_sent, CloseReason::server_left);
     context_.loop.set_timer(connection, connection.deadline);
     write(connection);
@@ -121,7 +126,7 @@
 
 void HostConnections::write(HostConnection& connection) {
     std::string text;
-    if (connection.is_probe) {
+    if (connection.checks_health()) {
         text =
             "GET " + connection.host->probe_path + " HTTP/1.1\r\nHost: " + connection.host->host.address + "\r\n\r\n";
     } else {
@@ -139,7 +144,7 @@
         text.append("\r\n");
     }
     connection.out.push(text);
-    if (connection.request) connection.out.push(connection.request->body);
+    if (!connection.checks_health()) connection.out.push(connection.request->body);
     context_.loop.flush(connection);
 }
 
@@ -173,7 +178,7 @@
 
 void HostConnections::head_received(HostConnection& connection) {
     const auto& reader = connection.reader;
-    if (connection.request && !connection.is_probe) {
+    if (!connection.checks_health()) {
         const auto own = field_value(connection.request->fields, "X-Request-Id");
         connection.stale = reader.request_id.empty() ? reader.status < 300 && !own.empty() : reader.request_id != own;
     }
@@ -190,7 +195,7 @@
 
 // Forwards the received part of a successful response, unless it is held back until complete.
 void HostConnections::take_body(HostConnection& connection) {
-    if (!connection.request || connection.reader.content.empty()) return;
+    if (connection.checks_health() || connection.reader.content.empty()) return;
     auto& request = *connection.request;
     auto& reader = connection.reader;
     const bool success = reader.status >= 200 && reader.status < 300;
@@ -202,27 +207,26 @@
     events_.host_active(connection.host->service, connection.host->id);
     if (bytes.empty()) return;
     if (!std::exchange(connection.streamed, true)) {
-        if (request.answering) report_.resumed(described(connection), context_.now());
+        if (request.answering) report_.resumed(described(request, *connection.host), context_.now());
         events_.response_began(request, connection);
     }
     events_.response_chunk(request, &connection, bytes);
 }
 
-HostResponse HostConnections::described(const HostConnection& connection) const {
-    const auto& request = *connection.request;
-    return {field_value(request.fields, "X-Request-Id"), connection.host->host.id, request.events.last_id()};
-}
-
 void HostConnections::report_end(const HostConnection& connection, HostResponseEnd end) {
-    if (connection.request) report_.ended(end, described(connection), context_.now());
+    if (!connection.checks_health())
+        report_.ended(end, described(*connection.request, *connection.host), context_.now());
 }
 
 void HostConnections::response_complete(HostConnection& connection) {
     report_end(connection,
                connection.http.ends_with_connection() ? HostResponseEnd::connection_closed : HostResponseEnd::framed);
+    if (connection.unconfirmed) return health_check_answered(connection);
     auto* request = connection.request;
     const auto call = request ? request->id : 0;
     const int number = connection.number;
+    const bool proves_end = !connection.http.ends_with_connection();
+    const Time deadline = connection.deadline;
     auto& host = *connection.host;
     auto reader = std::move(connection.reader);
     const bool streamed = connection.streamed, probe = connection.is_probe;
@@ -241,8 +245,48 @@
         events_.host_failed(*request, std::move(reply));
         return queue_attempt_end(call, number, Outcome::errored);
     }
-    events_.answered(*request, reply, streamed);
-    queue_attempt_end(call, number, Outcome::fulfilled);
+    UnconfirmedResponse response{std::move(reply), streamed};
+    if (proves_end) return deliver(*request, number, std::move(response));
+    confirm(host, *request, number, std::move(response), deadline);
+}
+
+void HostConnections::deliver(Request& request, int number, UnconfirmedResponse response) {
+    events_.answered(request, response.reply, response.streamed);
+    queue_attempt_end(request.id, number, Outcome::fulfilled);
+}
+
+void HostConnections::confirm(HostRecord& host, Request& request, int number, UnconfirmedResponse response,
+                              Time deadline) {
+    const bool ends_inside_event = request.streams() && !request.events.partial_event().empty();
+    const Span timeout = std::min(confirmation_timeout, deadline - context_.now());
+    auto ignored = Outcome::never_sent;
+    auto* connection = ends_inside_event || timeout <= Span{} ? nullptr : connection_to(host, ignored);
+    if (!connection) return reject_unconfirmed(host, request, number);
+    connection->request = &request;
+    connection->number = number;
+    connection->unconfirmed = std::move(response);
+    request.attempts[static_cast<size_t>(number)] = connection;
+    dispatch(*connection, timeout);
+}
+
+// Any answer of the same process will do, a refusal also.
+void HostConnections::health_check_answered(HostConnection& connection) {
+    auto& request = *connection.request;
+    const int number = connection.number;
+    const std::string instance(field_value(connection.reader.fields, "X-Instance-Id"));
+    const bool is_same_process = instance.empty() || instance == connection.host->host.id;
+    const auto& host = *connection.host;
+    auto response = std::move(*connection.unconfirmed);
+    request.attempts[static_cast<size_t>(number)] = nullptr;
+    release(connection);
+    if (!is_same_process) return reject_unconfirmed(host, request, number);
+    deliver(request, number, std::move(response));
+}
+
+void HostConnections::reject_unconfirmed(const HostRecord& host, Request& request, int number) {
+    report_.ended(HostResponseEnd::unconfirmed, described(request, host), context_.now());
+    request.events.discard_partial_event();
+    queue_attempt_end(request.id, number, Outcome::reset);
 }
 
 // Returns the connection to the idle pool, or closes it if it can't be reused.
@@ -254,6 +298,7 @@
     if (keeps && !has_room) idle_limit_reached_.add();
     if (connection.reader.keep_alive > 0) connection.keep_alive = connection.reader.keep_alive;
     connection.request = nullptr;
+    connection.unconfirmed.reset();
     connection.is_probe = connection.read_paused = false;
     if (!keeps || !has_room) return context_.loop.close(connection, CloseReason::told_to_close);
     connection.http.reset();
@@ -285,6 +330,7 @@
     }
     if (!request) return;
     request->attempts[static_cast<size_t>(number)] = nullptr;
+    if (connection.unconfirmed && outcome != Outcome::cancelled) return reject_unconfirmed(host, *request, number);
     request->events.discard_partial_event();
     queue_attempt_end(request->id, number, outcome);
 }
@@ -304,7 +350,8 @@
     if (number < 0 || number >= static_cast<int>(request.attempts.size())) return;
     auto* connection = request.attempts[static_cast<size_t>(number)];
     if (!connection) return;
-    end_attempt(*connection, connection->connecting ? Outcome::never_sent : Outcome::cancelled, CloseReason::cancelled);
+    const bool never_sent = connection->connecting && !connection->unconfirmed;
+    end_attempt(*connection, never_sent ? Outcome::never_sent : Outcome::cancelled, CloseReason::cancelled);
 }
 
 void HostConnections::abandon(Request& request) {
--- a/src/roles/proxy/hosts.hpp
+++ b/src/roles/proxy/hosts.hpp
@@ -68,8 +68,13 @@
     void head_received(HostConnection& connection);
     void take_body(HostConnection& connection);
     void response_complete(HostConnection& connection);
+    void deliver(Request& request, int number, UnconfirmedResponse response);
+    // Health checks that prove that a host still runs, so that the end of its connection was the end of its response.
+    void confirm(HostRecord& host, Request& request, int number, UnconfirmedResponse response, Time deadline);
+    void health_check_answered(HostConnection& connection);
+    // Ends the attempt: its response can't be taken for complete.
+    void reject_unconfirmed(const HostRecord& host, Request& request, int number);
     void report_end(const HostConnection& connection, HostResponseEnd end);
-    HostResponse described(const HostConnection& connection) const;
     void release(HostConnection& connection);
     void end_attempt(HostConnection& connection, Outcome outcome, memory::CloseReason why);
     void queue_attempt_end(CallId call, int number, Outcome outcome);
--- a/tests/system/proxy_test.cpp
+++ b/tests/system/proxy_test.cpp
@@ -164,6 +164,11 @@
         else
             host->shutdown_write();
         world.advance(Span{0.1});
+        if (!reset) {
+            CHECK(client.received.empty());   // the host may have been killed
+            REQUIRE(world.answer_health_check("i-0"));
+            world.advance(Span{0.1});
+        }
         const auto answer = client.take();
         CHECK(contains(answer, reset ? "HTTP/1.1 502 " : "HTTP/1.1 200 OK"));
         CHECK(contains(answer, "half") == !reset);
