A paused connection to a host is read to its end before it counts as ended

Cause: while a client is behind, its host's connection isn't read, and POLLRDHUP, which comes before unread bytes, was taken for the end. Change: connections to hosts don't ask for POLLRDHUP. They need no early notice: what ends is seen by reading, also after a pause.

--- a/src/roles/proxy/host_connection.hpp
+++ b/src/roles/proxy/host_connection.hpp
@@ -65,7 +65,6 @@
           host(&to),
           connections(to.connections),
           http(wire::HttpParser::Side::response, reader, limits) {
-        detect_peer_close = true;
         ++*connections;
     }
     ~HostConnection() override { --*connections; }
