A response that has begun is continued by a success only

Callers would see: a stream that breaks off at one host and is refused by the next one (3xx or 4xx, without X-Not-Executed) ended as complete. Cause: Proxy::response_ended finishes a begun response whatever the status of the response that ended. Change: such a response ends its attempt as errored; the stream goes on at a further host or is cut. Measured: the test (another host's 404) failed before and passes.

--- a/src/roles/proxy/hosts.cpp
+++ b/src/roles/proxy/hosts.cpp
@@ -24,6 +24,8 @@
 constexpr double running_weight = 0.3;   // of a running request in a host's reported load; a waiting one weighs 1
 constexpr size_t max_idle = 24;          // idle connections kept for each host
 
+bool is_success(int status) { return status >= 200 && status < 300; }
+
 HostResponse described(const Request& request, const HostRecord& host) {
     return {field_value(request.fields, "X-Request-Id"), host.host.id, request.events.last_id()};
 }
@@ -198,8 +200,7 @@
     if (connection.checks_health() || connection.reader.content.empty()) return;
     auto& request = *connection.request;
     auto& reader = connection.reader;
-    const bool success = reader.status >= 200 && reader.status < 300;
-    if (!success || reader.not_executed) return;
+    if (!is_success(reader.status) || reader.not_executed) return;
     const bool passes = request.streams() || connection.streamed || reader.content.size() > max_buffered_response;
     if (!passes) return;
     auto bytes = std::exchange(reader.content, {});
@@ -234,7 +235,7 @@
     if (request) request->attempts[static_cast<size_t>(number)] = nullptr;
     release(connection);
     if (probe) {
-        const bool well = reader.status >= 200 && reader.status < 300;
+        const bool well = is_success(reader.status);
         pending_ends_.push_back({0, 0, Outcome::fulfilled, host.id, host.service, well});
         return;
     }
@@ -245,6 +246,8 @@
         events_.host_failed(*request, std::move(reply));
         return queue_attempt_end(call, number, Outcome::errored);
     }
+    // A response that has begun can only be continued by a success.
+    if (request->answering && !is_success(reply.status)) return queue_attempt_end(call, number, Outcome::errored);
     UnconfirmedResponse response{std::move(reply), streamed};
     if (proves_end) return deliver(*request, number, std::move(response));
     confirm(host, *request, number, std::move(response), deadline);
