A begun response is continued by a second run only where a stream can be resumed

Callers saw, or would see: pieces of two runs joined under the first one's signature. Cause: what may be sent again was decided by the balancer alone, from the route's idempotency as it has it and from an attempt's outcome. Whether a client already holds a part that a second run can't continue, which only the proxy knows, nobody asked. Change: when an attempt of a begun response ends, the proxy ends the response, unless it is a stream of a resumable route whose last event had an id (EventStream::has_position). It rests on nothing that the balancer holds.

--- a/src/roles/proxy/proxy.cpp
+++ b/src/roles/proxy/proxy.cpp
@@ -312,6 +312,8 @@
     if (!request) return;
     --request->open_attempts;
     record_attempt(*request, number, outcome);
+    // No second run may be sent for it: only a resumed stream continues what the client has received.
+    if (request->answering && !request->can_resume()) fail(call);
     const bool answered = !request->client;
     if (auto* pool = services_.find(request->service))
         pool->balancer().attempt_ended(context_.now(), call, number, outcome, answered);
--- a/src/roles/proxy/request.hpp
+++ b/src/roles/proxy/request.hpp
@@ -67,6 +67,8 @@
     Reply last_failure;   // the last error response of a host, used if no attempt succeeds; status 0 = none
 
     bool streams() const { return route->kind == configuration::RouteKind::streaming; }
+    // Whether another run may continue the response that has begun.
+    bool can_resume() const { return streams() && route->resumable && events.has_position(); }
 };
 
 }   // namespace myrtleroute::proxy
--- a/src/routing/event_stream.hpp
+++ b/src/routing/event_stream.hpp
@@ -26,6 +26,8 @@
     const std::string& partial_event() const { return pending_; }
     // The id of the last whole event, or the id that the stream was resumed from if no event had one.
     const std::string& last_id() const { return last_id_; }
+    // Whether a new run that resumes after `last_id` continues exactly after what has been returned by `feed`.
+    bool has_position() const { return has_position_; }
     // Discards the partial event of the failed host before the stream is resumed at another one.
     void discard_partial_event() {
         pending_.clear();
@@ -46,16 +48,27 @@
             const auto end = events.find('\n');
             auto line = events.substr(0, end);
             if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-            if (line.starts_with("id:")) {
+            if (line.empty()) {
+                end_event();
+            } else if (line.starts_with("id:")) {
                 line.remove_prefix(3);
                 if (line.starts_with(' ')) line.remove_prefix(1);
                 last_id_ = line;
+                event_has_id_ = true;
+            } else if (line.starts_with("data")) {
+                event_has_data_ = true;
             }
             events = end == events.npos ? std::string_view{} : events.substr(end + 1);
         }
     }
+    // An event without data is not dispatched to the client's application, so it is no loss to repeat or omit it.
+    void end_event() {
+        if (event_has_id_ || event_has_data_) has_position_ = event_has_id_;
+        event_has_id_ = event_has_data_ = false;
+    }
     std::string pending_, last_id_;
     size_t scanned_ = 0;
+    bool has_position_ = true, event_has_id_ = false, event_has_data_ = false;
 };
 
 }   // namespace myrtleroute::routing
--- a/tests/system/routing_test.cpp
+++ b/tests/system/routing_test.cpp
@@ -103,6 +103,21 @@
     CHECK(events.feed("id: 6\ndata: y\n\n") == "id: 6\ndata: y\n\n");
 }
 
+TEST_CASE("a stream whose last event has data and no id has no position to resume from") {
+    EventStream events;
+    CHECK(events.has_position());
+    events.feed("id: 1\ndata: a\n\n");
+    CHECK(events.has_position());
+    events.feed("versions: 2\r\nid: 2\r\ndata: b\r\n\r\n");
+    CHECK(events.has_position());
+    events.feed(": a comment\n\n");
+    CHECK(events.has_position());
+    events.feed("data: c\n\nid: 3\n");
+    CHECK_FALSE(events.has_position());
+    events.feed("data: d\n\n");
+    CHECK(events.has_position());
+}
+
 TEST_CASE("the shared prefix of a prompt is all its parts but the last, in order") {
     const auto prompt = read_prompt("1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
     CHECK(prompt.tokens_in == 1460);
