A truncated response to an HTTP/1.0 client ends with a reset

Callers would see: a stream that is cut looks complete to a client of HTTP/1.0, whose responses end with their connection. Cause: Frontend::abort_response was said to reset the connection; it closed it, which the system does in order. Change: System::reset and Loop::reset (SO_LINGER 0); used for responses without chunks. Chunked ones end as before: a reset could take back events that were sent.

--- a/src/lab/virtual_system.cpp
+++ b/src/lab/virtual_system.cpp
@@ -168,6 +168,12 @@
     if (auto socket = std::exchange(table_[static_cast<size_t>(fd)], nullptr)) net_.close(*socket);
 }
 
+void VirtualSystem::reset(int fd) {
+    const HeapCounterPause pause;
+    --open_;
+    if (auto socket = std::exchange(table_[static_cast<size_t>(fd)], nullptr)) net_.reset(*socket);
+}
+
 int VirtualSystem::watch_signals() {
     const HeapCounterPause pause;
     const int fd = allocate_descriptor(nullptr);
--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -227,8 +227,8 @@
     end_response(client);
 }
 
-// Resets the connection, also for a chunked response, so that a truncated response can't be taken for a complete
-// one.
+// A chunked response lacks its last chunk; its connection isn't reset, which might take events back that were sent. Any
+// other response can only be told from a complete one by a reset.
 void Frontend::abort_response(Client& client) {
     client.request = nullptr;
     end(client, CloseReason::bad_answer);
@@ -308,7 +308,10 @@
     auto* request = std::exchange(client.request, nullptr);
     clients_.erase(&client);
     --open_connections_;
-    context_.loop.close(client, why);
+    if (why == CloseReason::bad_answer && !client.chunked)
+        context_.loop.reset(client, why);
+    else
+        context_.loop.close(client, why);
     if (request) events_.client_left(*request);
 }
 
--- a/src/roles/proxy/front.hpp
+++ b/src/roles/proxy/front.hpp
@@ -49,7 +49,7 @@
     void begin_response(Client& client, int status, const std::vector<Field>& fields);
     void send_chunk(Client& client, std::string_view bytes);
     void finish_response(Client& client);
-    void abort_response(Client& client);              // resets the connection, so that the client sees the truncation
+    void abort_response(Client& client);              // ends the connection so that the client sees the truncation
     bool is_backlogged(const Client& client) const;   // the client reads more slowly than its host sends
 
     // From now on every response closes its connection. A request that arrives after `requests_end` is refused, since
--- a/src/run/loop.cpp
+++ b/src/run/loop.cpp
@@ -29,8 +29,18 @@
 
 void Loop::close(Connection& c, memory::CloseReason why) {
     if (!c.open()) return;
-    log_.info() << "connection " << c.number << ' ' << c.name() << " ended: " << memory::code(why);
     system_.close(c.fd);
+    remove(c, why);
+}
+
+void Loop::reset(Connection& c, memory::CloseReason why) {
+    if (!c.open()) return;
+    system_.reset(c.fd);
+    remove(c, why);
+}
+
+void Loop::remove(Connection& c, memory::CloseReason why) {
+    log_.info() << "connection " << c.number << ' ' << c.name() << " ended: " << memory::code(why);
     c.fd = -1;
     timers_.clear(c);
     const size_t last = polled_.size() - 1;
--- a/src/run/loop.hpp
+++ b/src/run/loop.hpp
@@ -32,6 +32,8 @@
     void flush(memory::Connection& c);                     // writes what the socket takes now, the rest later
     void poll_for_input(memory::Connection& c, bool on);   // for connections that the handler reads itself
     void close(memory::Connection& c, memory::CloseReason why);      // and logs the reason
+    // As `close`, and the peer can tell it from the end of a message that ends with its connection.
+    void reset(memory::Connection& c, memory::CloseReason why);
     void close_all(memory::CloseReason why);
     void set_timer(memory::Connection& c, Time at) { timers_.set(c, at); }
     void clear_timer(memory::Connection& c) { timers_.clear(c); }
@@ -42,6 +44,7 @@
     void run_once(const std::function<void(uint64_t)>& timer_fired, const std::function<void()>& deferred);
 
 private:
+    void remove(memory::Connection& c, memory::CloseReason why);
     void register_connection(std::unique_ptr<memory::Connection> c);
     void update_poll_events(memory::Connection& c);                // the events it is polled for
     void read(memory::Connection& c);
--- a/src/run/posix_system.cpp
+++ b/src/run/posix_system.cpp
@@ -111,6 +111,12 @@
 void PosixSystem::shutdown_write(int fd) { ::shutdown(fd, SHUT_WR); }
 void PosixSystem::close(int fd) { ::close(fd); }
 
+void PosixSystem::reset(int fd) {
+    const linger at_once{1, 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    ::close(fd);
+}
+
 int PosixSystem::watch_signals() {
     int ends[2];
     if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) return -1;
--- a/src/run/posix_system.hpp
+++ b/src/run/posix_system.hpp
@@ -19,6 +19,7 @@
     bool has_unread(int fd) override;
     void shutdown_write(int fd) override;
     void close(int fd) override;
+    void reset(int fd) override;
     int watch_signals() override;
     int next_signal(int fd) override;
     size_t max_descriptors() override;
--- a/src/run/system.hpp
+++ b/src/run/system.hpp
@@ -39,6 +39,7 @@
     virtual bool has_unread(int fd) = 0;                                // bytes pending that have not been read
     virtual void shutdown_write(int fd) = 0;
     virtual void close(int fd) = 0;
+    virtual void reset(int fd) = 0;   // closes; the peer gets a reset, and perhaps not all that has been written
 
     // A descriptor that becomes readable when SIGTERM, SIGINT, SIGUSR1 or SIGHUP arrives. next_signal returns the
     // signals in the order of arrival, 0 = none left.
--- a/tests/system/pool_test.cpp
+++ b/tests/system/pool_test.cpp
@@ -26,6 +26,7 @@
     bool has_unread(int) override { return false; }
     void shutdown_write(int) override {}
     void close(int) override {}
+    void reset(int) override {}
     int watch_signals() override { return refuse(); }
     int next_signal(int) override { return 0; }
     size_t max_descriptors() override { return 1024; }
