A response that doesn't fit into its client's buffer is cut, and never passed on with a gap

Callers would see: an event, or an answer that isn't a success, of over 2 MB: its bytes left out, and the chunks after it taken for them. Cause: ByteRing::push refuses what doesn't fit; Frontend::send_chunk and respond didn't look.

--- a/src/roles/proxy/front.cpp
+++ b/src/roles/proxy/front.cpp
@@ -7,6 +7,8 @@
 #include <cstring>
 #include <utility>
 
+#include "base/bounds.hpp"
+
 namespace myrtleroute::proxy {
 namespace {
 
@@ -77,6 +79,7 @@
     : context_(context),
       events_(std::move(events)),
       report_(context.metrics, [](const std::string& line) { log_info() << line; }),
+      output_limit_reached_(bound_reached_counter(context.metrics, "client_output")),
       read_requests_are_answered_(context.invariants.named("read_requests_are_answered")) {}
 
 bool Frontend::open(std::string& error) {
@@ -190,8 +193,7 @@
     auto text = head(status, fields);
     text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
     text.append(connection_fields(client)).append("\r\n");
-    client.out.push(text);
-    client.out.push(body);
+    if (!client.out.push(text) || !client.out.push(body)) return cut_oversized_response(client);
     end_response(client);
 }
 
@@ -216,12 +218,20 @@
 
 void Frontend::send_chunk(Client& client, std::string_view bytes) {
     if (bytes.empty()) return;
-    if (client.chunked) client.out.push(hexadecimal(bytes.size()) + "\r\n");
-    client.out.push(bytes);
-    if (client.chunked) client.out.push("\r\n");
+    const bool fits = client.chunked ? client.out.push(hexadecimal(bytes.size()) + "\r\n") && client.out.push(bytes) &&
+                                           client.out.push("\r\n")
+                                     : client.out.push(bytes);
+    if (!fits) return cut_oversized_response(client);
     context_.loop.flush(client);
 }
 
+void Frontend::cut_oversized_response(Client& client) {
+    output_limit_reached_.add();
+    const bool is_in_progress = client.request && client.request->client;
+    if (!is_in_progress) client.request = nullptr;
+    end(client, CloseReason::bad_answer);
+}
+
 void Frontend::finish_response(Client& client) {
     if (client.chunked) client.out.push("0\r\n\r\n");
     end_response(client);
--- a/src/roles/proxy/front.hpp
+++ b/src/roles/proxy/front.hpp
@@ -75,6 +75,7 @@
     std::string connection_fields(Client& client) const;
     Span idle_limit() const;
     void end_response(Client& client);
+    void cut_oversized_response(Client& client);   // a part of it doesn't fit into the client's buffer
     void end(Client& client, memory::CloseReason why);
     void half_close(Client& client, ConnectionEnd cause);
     void report_end(Client& client, memory::CloseReason why);
@@ -82,6 +83,7 @@
     Context& context_;
     Events events_;
     FrontendReport report_;
+    metrics::Counter output_limit_reached_;
     Invariant& read_requests_are_answered_;
     Listener* client_listener_ = nullptr;
     Listener* probe_listener_ = nullptr;
--- a/tests/system/response_end_test.cpp
+++ b/tests/system/response_end_test.cpp
@@ -248,3 +248,28 @@
     world.advance(Span{0.5});
     CHECK(client.broken);
 }
+
+TEST_CASE("a response that doesn't fit into its client's buffer is cut, and never passed on with a gap") {
+    for (const bool streamed : {true, false}) {
+        CAPTURE(streamed);
+        ProxyWorld world(1);
+        world.configure(not_resumable + "," + plain);
+        auto& client = world.client();
+        client.reads = false;
+        auto& host = send(world, client, streamed ? "streaming" : "non_idempotent");
+        host.take();
+        const std::string large(3 << 20, 'a');
+        const std::string event = "id: 1\ndata: " + large + "\n\n";
+        if (streamed)
+            host.send(ProxyWorld::unframed_head("r1") + event + ProxyWorld::event_text(2));
+        else
+            host.send(ProxyWorld::answer("r1", large, "404 Not Found"));
+        world.advance(Span{2});
+        client.read_on();
+        world.advance(Span{2});
+        CHECK_FALSE(contains(client.received, "data: e2"));
+        CHECK_FALSE(contains(client.received, last_chunk));
+        CHECK((client.ended || client.broken));
+        CHECK(world.metric("myrtleroute_bound_reached_total{table=\"client_output\"}") == "1");
+    }
+}
