The health check that confirms the end of a response names the process it asks

Cause: reports of engines don't say which process made them, so a new process at the address could confirm the end of a killed one's response. Change: the check carries X-Expected-Instance, and 421 counts as another process. Measured: its test failed before (the check named nobody) and passes, with the other tests of the proxy role.

--- a/src/roles/proxy/hosts.cpp
+++ b/src/roles/proxy/hosts.cpp
@@ -129,8 +129,10 @@
 void HostConnections::write(HostConnection& connection) {
     std::string text;
     if (connection.checks_health()) {
-        text =
-            "GET " + connection.host->probe_path + " HTTP/1.1\r\nHost: " + connection.host->host.address + "\r\n\r\n";
+        text = "GET " + connection.host->probe_path + " HTTP/1.1\r\nHost: " + connection.host->host.address + "\r\n";
+        if (connection.unconfirmed)
+            text.append("X-Expected-Instance: ").append(connection.host->host.id).append("\r\n");
+        text.append("\r\n");
     } else {
         const auto& request = *connection.request;
         const auto left = std::max(1LL, static_cast<long long>((connection.deadline - context_.now()).s * 1e3));
@@ -249,11 +251,11 @@
     // A response that has begun can only be continued by a success.
     if (request->answering && !is_success(reply.status)) return queue_attempt_end(call, number, Outcome::errored);
     UnconfirmedResponse response{std::move(reply), streamed};
-    if (proves_end) return deliver(*request, number, std::move(response));
+    if (proves_end) return deliver(*request, number, response);
     confirm(host, *request, number, std::move(response), deadline);
 }
 
-void HostConnections::deliver(Request& request, int number, UnconfirmedResponse response) {
+void HostConnections::deliver(Request& request, int number, const UnconfirmedResponse& response) {
     events_.answered(request, response.reply, response.streamed);
     queue_attempt_end(request.id, number, Outcome::fulfilled);
 }
@@ -272,18 +274,19 @@
     dispatch(*connection, timeout);
 }
 
-// Any answer of the same process will do, a refusal also.
+// Any answer of the same process will do, a refusal also. Reports of engines don't name their instance.
 void HostConnections::health_check_answered(HostConnection& connection) {
     auto& request = *connection.request;
     const int number = connection.number;
     const std::string instance(field_value(connection.reader.fields, "X-Instance-Id"));
-    const bool is_same_process = instance.empty() || instance == connection.host->host.id;
+    const bool is_other = !instance.empty() && instance != connection.host->host.id;
+    const bool is_same_process = !is_other && connection.reader.status != 421;
     const auto& host = *connection.host;
     auto response = std::move(*connection.unconfirmed);
     request.attempts[static_cast<size_t>(number)] = nullptr;
     release(connection);
     if (!is_same_process) return reject_unconfirmed(host, request, number);
-    deliver(request, number, std::move(response));
+    deliver(request, number, response);
 }
 
 void HostConnections::reject_unconfirmed(const HostRecord& host, Request& request, int number) {
--- a/src/roles/proxy/hosts.hpp
+++ b/src/roles/proxy/hosts.hpp
@@ -68,7 +68,7 @@
     void head_received(HostConnection& connection);
     void take_body(HostConnection& connection);
     void response_complete(HostConnection& connection);
-    void deliver(Request& request, int number, UnconfirmedResponse response);
+    void deliver(Request& request, int number, const UnconfirmedResponse& response);
     // Health checks that prove that a host still runs, so that the end of its connection was the end of its response.
     void confirm(HostRecord& host, Request& request, int number, UnconfirmedResponse response, Time deadline);
     void health_check_answered(HostConnection& connection);
--- a/tests/system/response_end_test.cpp
+++ b/tests/system/response_end_test.cpp
@@ -67,16 +67,25 @@
 }
 
 TEST_CASE("a stream without a length isn't ended as complete by a new process at its host's address") {
-    ProxyWorld world(2);
-    world.configure(not_resumable);
-    auto& client = world.client();
-    auto& host = begin_unframed_stream(world, client);
-    for (auto& end : host.ends) end->close();
-    world.advance(Span{0.05});
-    REQUIRE(world.answer_health_check("i-another"));
-    world.advance(Span{0.1});
-    CHECK_FALSE(contains(client.take(), last_chunk));
-    CHECK((client.ended || client.broken));
+    for (const bool names_itself : {true, false}) {
+        CAPTURE(names_itself);
+        ProxyWorld world(2);
+        world.configure(not_resumable);
+        auto& client = world.client();
+        auto& host = begin_unframed_stream(world, client);
+        for (auto& end : host.ends) end->close();
+        world.advance(Span{0.05});
+        auto* check = world.pending_host();
+        REQUIRE(check);
+        CHECK(contains(check->received, "X-Expected-Instance: i-"));
+        if (names_itself)
+            REQUIRE(world.answer_health_check("i-another"));
+        else
+            check->send("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+        world.advance(Span{0.1});
+        CHECK_FALSE(contains(client.take(), last_chunk));
+        CHECK((client.ended || client.broken));
+    }
 }
 
 TEST_CASE("a stream that ends inside an event isn't ended as complete") {
