--- a/src/soak/hosts.cpp
+++ b/src/soak/hosts.cpp
@@ -17,8 +17,9 @@
 
 constexpr double min_response_delay = 0.005, max_response_delay = 0.06;   // seconds, also before each event of a stream
 constexpr double max_event_delay = 0.55;                                  // seconds, before each event of a long stream
-constexpr double whole_write_share = 0.5;                                 // of the events that are sent whole and alone
-constexpr std::string_view long_streams = "/long/";                       // path prefix of long streams
+constexpr double killed_reset_share = 0.3;            // of the connections of a killed process: those with unread bytes
+constexpr double whole_write_share = 0.5;             // of the events that are sent whole and alone
+constexpr std::string_view long_streams = "/long/";   // path prefix of long streams
 constexpr size_t max_request_body = 1 << 20;
 constexpr const char* body_end = " end\n";
 
@@ -78,10 +79,10 @@
         });
     }
 
-    // The end of the host process: the peer sees an orderly end, unless bytes are unread.
-    void end() {
+    // Closes the connection: in order, or by a reset.
+    void end(bool by_reset = false) {
         asio::error_code ignored;
-        socket_.close(ignored);
+        by_reset ? reset(socket_) : static_cast<void>(socket_.close(ignored));
         timer_.cancel();
         set_running(false);
     }
@@ -98,10 +99,10 @@
     void handle() {
         const auto& options = host_.options_;
         is_unframed_ = false;
-        if (reader_.target == "/report") return answer(200, "", report());
-        if (reader_.target == "/health") return answer(200, "", "{}");
         const auto expected = field_of(reader_.fields, "X-Expected-Instance");
         if (!expected.empty() && expected != host_.id_) return answer(421, "X-Not-Executed: 1\r\n", "{}");
+        if (reader_.target == "/report") return send_report();
+        if (reader_.target == "/health") return answer(200, "", "{}");
         if (host_.running_ >= options.capacity) return answer(503, "X-Not-Executed: 1\r\n", "{}");
         run();
     }
@@ -167,6 +168,13 @@
               [self = shared_from_this(), then] { then(); });
     }
 
+    // Reports don't name the instance.
+    void send_report() {
+        const auto body = report();
+        write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+              [this] { process_input(); });
+    }
+
     std::string report() const {
         return R"({"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,)"
                R"("kvUsed":0,"kvTotal":1000000,"handles":0,"running":)" +
@@ -245,7 +253,7 @@
     asio::error_code ignored;
     acceptor_.close(ignored);
     timer_.cancel();
-    for (auto* connection : std::set(*connections_)) connection->end();
+    for (auto* connection : std::set(*connections_)) connection->end(chance_.bernoulli(killed_reset_share));
 }
 
 void Host::restart() {
--- a/src/soak/hosts.hpp
+++ b/src/soak/hosts.hpp
@@ -42,7 +42,7 @@
     // Starts listening; throws asio::system_error on failure.
     Host(asio::io_context& context, HostOptions options, HostEvents events);
 
-    // Ends all connections and stops listening, as the system does for a killed process.
+    // Ends all connections and stops listening, as the system does for a killed process: most connections end in order.
     void kill();
     // Listens again, as a new run of the host process with another instance id.
     void restart();
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -147,6 +147,9 @@
     app.add_flag("--storm", command.soak.storm, "All parts of the configuration change without a pause");
     app.add_option("--kept-clients", command.soak.kept_clients, "Number of clients with persistent connections")
         ->check(CLI::Range(0, 5000));
+    app.add_option("--unframed-share", command.soak.unframed_share,
+                   "Share of the hosts' responses without a length, which end with their connection")
+        ->check(CLI::Range(0.0, 1.0));
     app.add_option("--keep", command.keep, "Directory in which the logs and data directories of every seed are kept");
 }
 
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -20,7 +20,6 @@
 constexpr double max_stop_duration = 9;   // seconds from SIGTERM until the process has restarted
 constexpr double response_loss = 0.5, subscription_loss = 0.1, host_response_loss = 0.33;
 constexpr double stream_reset_rate = 0.04;   // for each event, while streams are reset
-constexpr double unframed_share = 0.2;       // of the responses of hosts
 constexpr std::array services{"plain", "model"};
 constexpr size_t hosts_of_service = host_count / services.size();
 constexpr uint16_t host_port = 9000;
@@ -129,7 +128,7 @@
     host.service = service;
     host.zone = "zone-" + std::to_string(of_service % 2);
     host.streams = service == "model";
-    host.unframed_share = unframed_share;
+    host.unframed_share = options_.unframed_share;
     host.address = {addresses_.host(number), host_port};
     host.seed = options_.seed * 100 + number;
     for (size_t c = 0; c < options_.size.controls; ++c) host.controls.push_back(addresses_.control(c));
--- a/src/soak/soak.hpp
+++ b/src/soak/soak.hpp
@@ -29,6 +29,7 @@
     bool planned = false;   // only planned work: stops and reloads in series
     bool storm = false;     // all parts of the configuration change without a pause
     size_t kept_clients = 40;
+    double unframed_share = 0.2;   // share of the hosts' responses without a length
 };
 
 struct Outcome {
