A health check that a busy host keeps waiting confirms the end of a response, too

Callers would see: whole answers without a length cut, or answered 502, where the host keeps health checks waiting for over a second. Cause: only an answer to the check counted. Yet a connection opened after the end, and still open a second later, leads to a process that runs: those to a killed one are refused or reset. Change: the check goes on a connection of its own, not on an idle one, which a cut network might keep silent; at its timeout the response counts as complete if the connection is established, and that connection is closed. Measured: the test failed before (502) and passes.

--- a/src/roles/proxy/hosts.cpp
+++ b/src/roles/proxy/hosts.cpp
@@ -82,7 +82,11 @@
 // Takes the most recently used idle connection that the host has not closed, or opens a new one. Null on failure,
 // with the reason in `failure`.
 HostConnection* HostConnections::connection_to(HostRecord& host, Outcome& failure) {
-    if (auto* idle = idle_connection(host)) return idle;
+    auto* idle = idle_connection(host);
+    return idle ? idle : open_connection(host, failure);
+}
+
+HostConnection* HostConnections::open_connection(HostRecord& host, Outcome& failure) {
     if (context_.loop.connections() >= context_.max_connections() && !close_oldest_idle()) return nullptr;
     bool immediate = false;
     const int fd = context_.system.connect(host.address, immediate);
@@ -265,7 +269,7 @@
     const bool ends_inside_event = request.streams() && !request.events.partial_event().empty();
     const Span timeout = std::min(confirmation_timeout, deadline - context_.now());
     auto ignored = Outcome::never_sent;
-    auto* connection = ends_inside_event || timeout <= Span{} ? nullptr : connection_to(host, ignored);
+    auto* connection = ends_inside_event || timeout <= Span{} ? nullptr : open_connection(host, ignored);
     if (!connection) return reject_unconfirmed(host, request, number);
     connection->request = &request;
     connection->number = number;
@@ -274,18 +278,24 @@
     dispatch(*connection, timeout);
 }
 
-// Any answer of the same process will do, a refusal also. Reports of engines don't name their instance.
+// Any answer of the same process confirms the end, a refusal also. Reports of engines don't name their instance.
 void HostConnections::health_check_answered(HostConnection& connection) {
-    auto& request = *connection.request;
-    const int number = connection.number;
     const std::string instance(field_value(connection.reader.fields, "X-Instance-Id"));
     const bool is_other = !instance.empty() && instance != connection.host->host.id;
-    const bool is_same_process = !is_other && connection.reader.status != 421;
-    const auto& host = *connection.host;
-    auto response = std::move(*connection.unconfirmed);
+    if (is_other || connection.reader.status == 421)
+        return end_attempt(connection, Outcome::reset, CloseReason::bad_answer);
+    end_confirmed(connection);
+}
+
+void HostConnections::end_confirmed(HostConnection& connection) {
+    auto& request = *connection.request;
+    const int number = connection.number;
+    const auto response = std::move(*connection.unconfirmed);
     request.attempts[static_cast<size_t>(number)] = nullptr;
-    release(connection);
-    if (!is_same_process) return reject_unconfirmed(host, request, number);
+    if (connection.http.done())
+        release(connection);
+    else
+        context_.loop.close(connection, CloseReason::silent);
     deliver(request, number, response);
 }
 
@@ -398,6 +408,8 @@
         remove_from_idle(connection);
         return context_.loop.close(connection, CloseReason::idle);
     }
+    // The check waits at a busy host. Connections to a process that was killed would have been reset by now.
+    if (connection.unconfirmed && !connection.connecting) return end_confirmed(connection);
     // A host that has been cut off from the network sends nothing, and its idle connections are reset once it is
     // back.
     if (connection.host->last_response < connection.sent) close_idle(*connection.host);
--- a/src/roles/proxy/hosts.hpp
+++ b/src/roles/proxy/hosts.hpp
@@ -62,6 +62,7 @@
         bool answered;
     };
     HostConnection* connection_to(HostRecord& host, Outcome& failure);
+    HostConnection* open_connection(HostRecord& host, Outcome& failure);
     HostConnection* idle_connection(HostRecord& host);
     void dispatch(HostConnection& connection, Span timeout);
     void write(HostConnection& connection);
@@ -72,6 +73,7 @@
     // Health checks that prove that a host still runs, so that the end of its connection was the end of its response.
     void confirm(HostRecord& host, Request& request, int number, UnconfirmedResponse response, Time deadline);
     void health_check_answered(HostConnection& connection);
+    void end_confirmed(HostConnection& connection);
     // Ends the attempt: its response can't be taken for complete.
     void reject_unconfirmed(const HostRecord& host, Request& request, int number);
     void report_end(const HostConnection& connection, HostResponseEnd end);
--- a/tests/system/response_end_test.cpp
+++ b/tests/system/response_end_test.cpp
@@ -241,6 +241,23 @@
     CHECK(world.arrivals("r1") == 0);
 }
 
+TEST_CASE("a response without a length is passed on as complete if its host keeps a health check waiting") {
+    ProxyWorld world(1);
+    world.configure(plain);
+    auto& client = world.client();
+    auto& host = send(world, client, "non_idempotent");
+    host.take();
+    host.send(ProxyWorld::unframed_head("r1") + "whole");
+    host.close();
+    world.advance(Span{0.5});
+    CHECK(client.received.empty());
+    auto* check = world.pending_host();
+    REQUIRE(check);
+    world.advance(Span{0.7});
+    CHECK(contains(client.take(), "whole"));
+    CHECK(check->ended);
+}
+
 TEST_CASE("a truncated response to an HTTP/1.0 client ends with a reset") {
     ProxyWorld world(1);
     world.configure(not_resumable);
