Soak: processes of a large fleet inherit no connections; a cut tells after which event

Cause: a started process kept the descriptors from 1,024 on of the one that started it. Change: close_range marks all descriptors.

--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -42,7 +42,7 @@
     }
     for (const auto& [name, value] : what.environment) ::setenv(name.c_str(), value.c_str(), 1);
     // The child inherits no other descriptor.
-    for (int fd = what.control_fd >= 0 ? 4 : 3; fd < 1024; ++fd) ::fcntl(fd, F_SETFD, FD_CLOEXEC);
+    ::close_range(what.control_fd >= 0 ? 4 : 3, ~0U, CLOSE_RANGE_CLOEXEC);
     ::execvp(words[0], words.data());
     ::_exit(127);
 }
--- a/src/soak/checker.cpp
+++ b/src/soak/checker.cpp
@@ -67,7 +67,7 @@
                std::to_string(request.sent_at) + ": " + how);
 }
 
-void Checker::response_cut(const std::string& id, const char* how, double now) {
+void Checker::response_cut(const std::string& id, const std::string& how, double now) {
     auto& request = requests_[by_id_.at(id)];
     request.answered_at = now;
     ++cuts_;
--- a/src/soak/checker.hpp
+++ b/src/soak/checker.hpp
@@ -63,7 +63,7 @@
 
     // A connection ended before the complete response. `response_cut`: the proxy had read the request; `how` is the
     // text after "was cut" in the report. `request_unread`: the proxy had not read it.
-    void response_cut(const std::string& id, const char* how, double now);
+    void response_cut(const std::string& id, const std::string& how, double now);
     void request_unread(const std::string& id, double now);
 
     void configuration_sent(uint64_t version, const Limits& limits, double now);
--- a/src/soak/kept_clients.cpp
+++ b/src/soak/kept_clients.cpp
@@ -150,7 +150,7 @@
         const int last_event = check_events(false);
         if (is_resumable() && last_event < events_per_stream && chance_.bernoulli(resume_share))
             resume_after_ = last_event;
-        checker_.response_cut(request_.id, how, now_());
+        checker_.response_cut(request_.id, std::string(how) + ", after event " + std::to_string(last_event), now_());
         reconnect();
     }
 
